--- /dev/null
+++ b/src/main/java/hopdrum/host/Host.java
@@ -0,0 +1,30 @@
+package hopdrum.host;
+
+/** What the decision module may ask of the front door that it runs in. Each call takes effect at nowUs(). */
+public interface Host {
+    long nowUs();
+
+    /** Sends an RPC to a backend; call-outs of one RPC are numbered 0, 1, 2 ... in the order sent. */
+    void callOut(long rpc, long backend, long timeOutUs);
+
+    void cancelCallOut(long rpc, int callOut);
+
+    /** Final answer: trying again is harmless. A wait of 0 names no time to come back. */
+    void pushBack(long rpc, long retryAfterUs);
+
+    /** Final answer that promises nothing. */
+    void abort(long rpc);
+
+    void addToCount(long name, double units, long timeToLiveUs);
+
+    void wakeIn(long delayUs);
+
+    void probe(long backend);
+
+    void tell(int peer, byte[] payload);
+
+    /** Follows the list of backends, where it has to be asked for. */
+    void followList();
+
+    void log(String line);
+}
--- /dev/null
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -0,0 +1,899 @@
+package hopdrum.policy;
+
+import hopdrum.host.Host;
+import hopdrum.host.Listed;
+import hopdrum.host.Method;
+import hopdrum.host.Outcome;
+import hopdrum.host.Plan;
+import hopdrum.host.Settings;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+
+/**
+ * All decisions of one gateway. A front door makes one Policy for each start and calls it from one thread:
+ * take() for a new RPC, which returns its handle; all later news of that RPC is a call on the handle (Rpc).
+ * News that belongs to no RPC comes by counted(), listed(), probed(), heard() and wake().
+ * The Policy answers by calls on Host while it is being called; hopdrum.host holds that interface and the
+ * types of the settings. Read advance() first: it is the ordinary path of an RPC from top to bottom.
+ * Times are microseconds. Nothing here knows a deployment, a method or a customer by name.
+ */
+public final class Policy {
+    // The quota count. An epoch is the longest time that the counter keeps a name.
+    private static final long EPOCH_US = 60_000_000;
+    private static final int CUSTOMER_BITS = 33;
+    private static final long LEAST_TIME_OUT_US = 5_000;
+    private static final int SILENCES_TO_OPEN = 4;
+    private static final long FIRST_TRIAL_US = 100_000;
+    private static final long LAST_TRIAL_US = 800_000;
+    private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
+    // The line and the places.
+    private static final double FIRST_PLACES = 2;
+    private static final double MOST_PLACES = 64;
+    private static final double GROW_BELOW = 0.35;     // of the soft deadline: a place more is harmless
+    private static final double SHRINK_ABOVE = 0.6;    // of the soft deadline: places are too many
+    // Health.
+    private static final long FIRST_EJECT_US = 1_000_000;
+    private static final long LAST_EJECT_US = 8_000_000;
+    private static final double REPEATS_PER_RPC = 0.1;
+    private static final double MOST_REPEATS = 15;
+    private static final double COLD_MARGIN = 0.7;
+    private static final long SWEEP_US = 2_000_000;
+
+    private final Settings settings;
+    private final Host host;
+    private final SplittableRandom random;
+    private final long startedUs;
+    private final Row[] rows;
+    private final Map<Long, Backend> backends = new LinkedHashMap<>();   // emptied by list news
+    private final Map<Long, Customer> customers = new LinkedHashMap<>(); // emptied by sweep() when idle
+    private final PriorityQueue<Rpc> line = new PriorityQueue<>(         // emptied by pump() and finish()
+            Comparator.comparingLong((Rpc r) -> r.startByUs).thenComparingLong(r -> r.order));
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>(     // emptied as they come due
+            Comparator.comparingLong(Timer::atUs).thenComparingLong(Timer::order));
+    private final int queueField;
+    private long orders;
+    private long wakeAtUs = Long.MAX_VALUE;
+    private double repeats = MOST_REPEATS;
+    // The counter as a whole: its answers' time and its silence.
+    private double answerUs = LEAST_TIME_OUT_US / 4.0;
+    private double answerDevUs = LEAST_TIME_OUT_US / 4.0;
+    private long lastAnswerUs = Long.MIN_VALUE / 2;
+    private int silences;
+    private long trialGapUs = FIRST_TRIAL_US;
+    private long nextTrialUs;
+
+    public Policy(Settings settings, long seed, Host host) {
+        this.settings = settings;
+        this.host = host;
+        this.random = new SplittableRandom(seed);
+        this.startedUs = host.nowUs();
+        this.rows = settings.methods().stream().map(Row::new).toArray(Row[]::new);
+        this.queueField = settings.reportFields().indexOf("depth");
+        if (settings.mustAskForList()) {
+            host.followList();
+        }
+        at(startedUs + SWEEP_US, this::sweep);
+        arm();
+    }
+
+    // ---- What the front door tells ----
+
+    /** A client's RPC has come in; exactly one final answer is owed from here on. */
+    public Rpc take(long id, int method, long customer, int plan, double units, int firstGateway, int gateways,
+                    long leftUs) {
+        Rpc rpc = new Rpc(id, rows[method], customerOf(customer, plan, gateways), units, leftUs);
+        at(rpc.giveUpAtUs, () -> outOfTime(rpc));
+        advance(rpc);
+        arm();
+        return rpc;
+    }
+
+    public void wake() {
+        if (now() < wakeAtUs) {
+            return; // an earlier wake-up has done this one's work
+        }
+        wakeAtUs = Long.MAX_VALUE;
+        while (!timers.isEmpty() && timers.peek().atUs <= now()) {
+            timers.poll().what.run();
+        }
+        pump();
+        arm();
+    }
+
+    public void counted(long name, Outcome outcome, double total, long tookUs) {
+        Customer customer = customers.get(name & ((1L << CUSTOMER_BITS) - 1));
+        Count count = customer == null ? null : customer.nextOf(name);
+        if (count == null) {
+            return;
+        }
+        if (outcome == Outcome.OK) {
+            lastAnswerUs = now();
+            silences = 0;
+            trialGapUs = FIRST_TRIAL_US;
+            answerDevUs += (Math.abs(tookUs - answerUs) - answerDevUs) / 4;
+            answerUs += (tookUs - answerUs) / 8;
+            customer.answered(count, total);
+        } else {
+            if (!count.silent) {
+                silence(count);
+            }
+            // A line turned away was not added, nor was one that an outage swallowed; a busy counter adds late.
+            boolean added = outcome == Outcome.TIMED_OUT && lastAnswerUs >= count.sentUs;
+            customer.owed += added ? 0 : count.amount;
+            customer.owed -= count.rpc != null && !count.rpc.admitted ? count.rpc.units : 0;
+        }
+        pump();
+        arm();
+    }
+
+    public void listed(Listed.Form form, List<Listed> entries) {
+        if (form == Listed.Form.NONE) {
+            at(now() + 1_000_000, host::followList);
+            arm();
+            return;
+        }
+        if (form != Listed.Form.CHANGES) {
+            backends.values().forEach(b -> b.ready = false);
+        }
+        for (Listed entry : entries) {
+            Backend backend = backends.computeIfAbsent(entry.backend(), id -> new Backend(entry));
+            if (backend.startedUs != entry.startedAtUs()) {
+                backend = new Backend(entry);
+                backends.put(entry.backend(), backend);
+            }
+            backend.ready = entry.state() == Listed.State.READY;
+        }
+        backends.values().removeIf(b -> !b.ready);
+        pump();
+        arm();
+    }
+
+    public void probed(long backend, Outcome outcome, long tookUs, float[] report) {
+        Backend b = backends.get(backend);
+        if (b != null && outcome == Outcome.OK) {
+            b.reported(report);
+        }
+    }
+
+    public void heard(int from, byte[] payload) {
+        // Gateways learn of each other by the counter alone.
+    }
+
+    // ---- The ordinary path ----
+
+    private void advance(Rpc rpc) {
+        Customer customer = rpc.customer;
+        Plan plan = customer.plan;
+        if (rpc.stage == Stage.NEW) {
+            // 1. Beyond quota for certain: more than its share open, or a reading not yet refilled says so.
+            customer.lastUsedUs = now();
+            long waitUs = customer.beyondUntilUs - now();
+            if (customer.openIsFull() || waitUs > 0 && plan.rate() > 0) {
+                finish(rpc, Math.max(waitUs, 0));
+                return;
+            }
+            // 2. Ask: one call on the customer's count, which adds the units; the answer comes to customer.answered().
+            if (plan.rate() <= 0) {
+                rpc.stage = Stage.LINE;
+            } else if (counterMayBeAsked()) {
+                rpc.stage = Stage.COUNTING;
+                customer.ask(rpc);
+                if (silences >= SILENCES_TO_OPEN) {
+                    customer.decideLocally(rpc); // a trial: nobody waits for it
+                }
+                return;
+            } else {
+                customer.decideLocally(rpc);
+                return;
+            }
+        }
+        if (rpc.stage == Stage.LINE) {
+            // 3. Wait in line until a backend's place comes free; pump() sends it on in its turn.
+            rpc.startByUs = rpc.softDlUs - rpc.row.usualUs();
+            line.add(rpc);
+            pump();
+        }
+        // 4. What comes back is a call on the handle: Rpc.callOutEnded().
+    }
+
+    /** Gives free places to the line, the RPC that must start soonest first. */
+    private void pump() {
+        List<Rpc> bound = null;
+        while (!line.isEmpty()) {
+            Rpc rpc = line.peek();
+            if (rpc.callOuts.isEmpty() && rpc.row.method.lateUtility() <= 0 && now() > rpc.startByUs) {
+                line.poll();
+                finish(rpc, 0); // it cannot meet its soft deadline any more: back while that is harmless
+                continue;
+            }
+            Backend backend = pick(rpc);
+            if (backend == null && !rpc.isBound()) {
+                break;
+            }
+            line.poll();
+            if (backend != null) {
+                send(rpc, backend);
+            } else {
+                bound = bound == null ? new ArrayList<>() : bound;
+                bound.add(rpc);
+            }
+        }
+        if (bound != null) {
+            line.addAll(bound);
+        }
+    }
+
+    private Backend pick(Rpc rpc) {
+        Backend best = null;
+        double bestScore = Double.MAX_VALUE;
+        boolean untriedOnly = rpc.callOuts.size() > 0 && backends.values().stream().anyMatch(
+                b -> !rpc.tried(b) && rpc.mayGoTo(b) && b.usable());
+        for (Backend b : backends.values()) {
+            if (!rpc.mayGoTo(b) || untriedOnly && rpc.tried(b) || rpc.isOutAt(b) || !b.hasPlace(rpc.row)) {
+                continue;
+            }
+            double score = b.score() * (1 + 0.02 * random.nextDouble());
+            if (score < bestScore) {
+                bestScore = score;
+                best = b;
+            }
+        }
+        return best;
+    }
+
+    private void send(Rpc rpc, Backend backend) {
+        CallOut callOut = new CallOut(backend, now(), rpc.callOuts.size());
+        if (rpc.callOuts.isEmpty()) {
+            repeats = Math.min(MOST_REPEATS, repeats + REPEATS_PER_RPC);
+            rpc.customer.open++;
+        }
+        rpc.callOuts.add(callOut);
+        rpc.stage = Stage.OUT;
+        backend.out++;
+        backend.sentCold(rpc.row);
+        host.callOut(rpc.id, backend.id, 0);
+        at(now() + rpc.row.patienceUs(), () -> overdue(rpc, callOut));
+    }
+
+    // ---- Further call-outs and the end of an RPC ----
+
+    /** Guards against what shows only as time (a hang, a vanished machine, a long pause, a crawl). */
+    private void overdue(Rpc rpc, CallOut callOut) {
+        if (!callOut.out) {
+            return;
+        }
+        Backend backend = callOut.backend;
+        boolean mute = backend.lastAnswerUs < callOut.sentUs;
+        if (mute && ++backend.suspicions >= 2) {
+            backend.eject();
+        }
+        if (!rpc.done && (mute || backend.slowness > 2 || !backend.usable()) && rpc.outCount() == 1) {
+            if (settings.secondCopies()) {
+                sendFurther(rpc, true);
+            } else if (settings.mayCancel() && rpc.mayRepeat() && !rpc.callOutsSpent() && repeats >= 1) {
+                callOut.movedOn = true;
+                host.cancelCallOut(rpc.id, callOut.number);
+            }
+        }
+    }
+
+    /** Puts an RPC in line again, if its method, its call-outs, its time and the budget allow one more. */
+    private boolean sendFurther(Rpc rpc, boolean mayHaveRun) {
+        if (rpc.callOutsSpent() || !rpc.mayRepeat() || rpc.softDlUs <= now() && rpc.row.method.lateUtility() <= 0
+                || mayHaveRun && repeats < 1) {
+            return false;
+        }
+        if (mayHaveRun) {
+            repeats -= 1;
+        }
+        rpc.startByUs = rpc.softDlUs - rpc.row.usualUs();
+        line.add(rpc);
+        return true;
+    }
+
+    private void outOfTime(Rpc rpc) {
+        if (!rpc.done && !rpc.streaming) {
+            finish(rpc, 0);
+        }
+    }
+
+    /** The module's own final answer, at once: pushed back where a repeat is harmless, else aborted. */
+    private void finish(Rpc rpc, long waitUs) {
+        boolean harmless = rpc.isHarmless();
+        rpc.close();
+        if (settings.mayCancel()) {
+            rpc.callOuts.stream().filter(c -> c.out).forEach(c -> host.cancelCallOut(rpc.id, c.number));
+        }
+        if (harmless) {
+            host.pushBack(rpc.id, settings.retryAfter() ? Math.min(waitUs, settings.mostRetryAfterUs()) : 0);
+        } else {
+            host.abort(rpc.id);
+        }
+    }
+
+    // ---- The counter ----
+
+    private long epochOf(long customer) {
+        return (now() + stagger(customer)) / EPOCH_US;
+    }
+
+    private static long stagger(long customer) {
+        return Long.remainderUnsigned(customer * 0x9E3779B97F4A7C15L, EPOCH_US);
+    }
+
+    private long timeOutUs() {
+        long most = Math.max(LEAST_TIME_OUT_US, settings.countWaitUs() * 3 / 4);
+        return Math.min(most, Math.max(LEAST_TIME_OUT_US, (long) (answerUs + 4 * answerDevUs)));
+    }
+
+    /** The breaker: once the counter was silent, only sparse trials reach it until one is answered. */
+    private boolean counterMayBeAsked() {
+        if (!settings.mayCount()) {
+            return false;
+        }
+        if (silences < SILENCES_TO_OPEN) {
+            return true;
+        }
+        if (now() < nextTrialUs) {
+            return false;
+        }
+        nextTrialUs = now() + trialGapUs;
+        trialGapUs = Math.min(LAST_TRIAL_US, trialGapUs * 2);
+        return true;
+    }
+
+    private void silence(Count count) {
+        count.silent = true;
+        if (lastAnswerUs < count.sentUs && ++silences == SILENCES_TO_OPEN) {
+            nextTrialUs = now() + trialGapUs;
+        }
+        if (count.rpc != null && count.rpc.stage == Stage.COUNTING && !count.rpc.done) {
+            count.customer.decideLocally(count.rpc);
+        }
+    }
+
+    private Customer customerOf(long key, int plan, int gateways) {
+        return customers.computeIfAbsent(key, k -> new Customer(k, settings.plans().get(plan), gateways));
+    }
+
+    private void sweep() {
+        customers.values().removeIf(Customer::isIdle);
+        at(now() + SWEEP_US, this::sweep);
+    }
+
+    /** One customer (quota key): what this gateway knows of its count, and its leaky bucket for silent times. */
+    private final class Customer {
+        final long key;
+        final Plan plan;
+        final int gateways;
+        final Deque<Count> pending = new ArrayDeque<>(2);
+        double credit = -1;         // as last read, less what was let in since
+        long creditAtUs = Long.MIN_VALUE;
+        long beyondUntilUs = Long.MIN_VALUE / 2;
+        double owed;                // let in, but not in the count yet
+        double bucket = -1;         // the split leaky bucket; below 0: none
+        long bucketAtUs;
+        long lastUsedUs;
+        int open;
+
+        Customer(long key, Plan plan, int gateways) {
+            this.key = key;
+            this.plan = plan;
+            this.gateways = Math.max(1, gateways);
+        }
+
+        boolean isIdle() {
+            return pending.isEmpty() && open == 0
+                    && now() - lastUsedUs > 1e6 * Math.max(5, plan.rate() > 0 ? 2 * plan.burst() / plan.rate() : 0);
+        }
+
+        boolean openIsFull() {
+            return plan.openLimit() > 0 && open >= Math.max(1, Math.ceil((double) plan.openLimit() / gateways));
+        }
+
+        double creditNow() {
+            return Math.min(plan.burst(), credit + plan.rate() * (now() - creditAtUs) / 1e6);
+        }
+
+        boolean isRemembered() {
+            return creditAtUs != Long.MIN_VALUE;
+        }
+
+        double roomAt(long name, double total) {
+            long sinceUs = now() + stagger(key) - (name >>> CUSTOMER_BITS) * EPOCH_US;
+            return plan.burst() + plan.rate() * sinceUs / 1e6 - total;
+        }
+
+        void ask(Rpc rpc) {
+            Count count = add(epochOf(key) << CUSTOMER_BITS | key, rpc.units + owed);
+            owed = 0;
+            count.rpc = rpc;
+            at(now() + timeOutUs(), () -> {
+                if (!count.answered && !count.silent) {
+                    silence(count);
+                }
+            });
+        }
+
+        Count add(long name, double amount) {
+            Count count = new Count(this, name, amount, now());
+            pending.add(count);
+            host.addToCount(name, amount, EPOCH_US);
+            return count;
+        }
+
+        Count nextOf(long name) {
+            for (Iterator<Count> all = pending.iterator(); all.hasNext(); ) {
+                Count count = all.next();
+                if (count.name == name) {
+                    all.remove();
+                    count.answered = true;
+                    return count;
+                }
+            }
+            return null;
+        }
+
+        void answered(Count count, double total) {
+            Rpc rpc = count.rpc;
+            double room = roomAt(count.name, total);
+            if (rpc == null) {
+                // Two gateways may have seen the same excess: the one whose add came second takes it back.
+                if (count.excess >= 2 && count.roomAfter - room >= 0.9 * count.excess) {
+                    add(count.name, -count.excess);
+                    room += count.excess;
+                }
+                know(room);
+                return;
+            }
+            // Room above the burst is added back. The call that made the name (it reads its own amount alone)
+            // puts back what this gateway remembers as spent: after a flush, an empty return, an epoch's turn.
+            boolean made = Math.abs(total - count.amount) < 1e-3;
+            double before = made ? rememberedCredit() : plan.burst();
+            double excess = room + count.amount - before;
+            if (excess > (made ? 0.5 : Math.max(1, plan.burst() * LAZY_EXCESS))) {
+                room -= excess;
+                Count trim = add(count.name, excess);
+                trim.excess = excess;
+                trim.roomAfter = room;
+            }
+            boolean within = room >= 0;
+            bucket = -1;
+            if (rpc.stage != Stage.COUNTING) { // answered late, decided by the leaky bucket meanwhile
+                if (!rpc.admitted) {
+                    add(count.name, -rpc.units);
+                    room += rpc.units;
+                }
+                know(room);
+            } else if (within) {
+                know(room);
+                rpc.admit();
+                advance(rpc);
+            } else {
+                add(count.name, -rpc.units);
+                long waitUs = (long) (-room / plan.rate() * 1e6);
+                beyondUntilUs = now() + waitUs;
+                know(room + rpc.units);
+                rpc.stage = Stage.DONE;
+                finish(rpc, waitUs);
+            }
+        }
+
+        private void know(double room) {
+            credit = room;
+            creditAtUs = now();
+        }
+
+        /** What the store holds by this gateway's memory; a ceiling may not be staked on an unknown past. */
+        double rememberedCredit() {
+            if (isRemembered()) {
+                return creditNow();
+            }
+            double spare = plan.ceilingBurst() - plan.burst() + plan.ceilingSlack();
+            return plan.ceilingRate() > 0 ? Math.max(0, Math.min(plan.burst(), spare)) : plan.burst();
+        }
+
+        /** The counter is silent: a leaky bucket with this gateway's share, started from what it knows. */
+        void decideLocally(Rpc rpc) {
+            double depth = Math.max(rpc.units, plan.burst() / gateways);
+            if (bucket < 0) {
+                double known = isRemembered() ? creditNow()
+                        : Math.min(plan.burst(), plan.rate() * (now() - startedUs) / 1e6);
+                bucket = Math.max(0, Math.min(depth, known / gateways));
+            } else {
+                bucket = Math.min(depth, bucket + plan.rate() / gateways * (now() - bucketAtUs) / 1e6);
+            }
+            bucketAtUs = now();
+            boolean counted = rpc.stage == Stage.COUNTING;
+            if (bucket >= rpc.units) {
+                bucket -= rpc.units;
+                credit -= rpc.units;
+                owed += counted ? 0 : rpc.units;
+                rpc.admit();
+                advance(rpc);
+            } else {
+                finish(rpc, (long) ((rpc.units - bucket) / (plan.rate() / gateways) * 1e6));
+            }
+        }
+    }
+
+    /** One call on the counter. */
+    private static final class Count {
+        final Customer customer;
+        final long name;
+        final double amount;
+        final long sentUs;
+        Rpc rpc;
+        double excess;
+        double roomAfter;
+        boolean answered;
+        boolean silent;
+
+        Count(Customer customer, long name, double amount, long sentUs) {
+            this.customer = customer;
+            this.name = name;
+            this.amount = amount;
+            this.sentUs = sentUs;
+        }
+    }
+
+    // ---- Backends ----
+
+    private final class Backend {
+        final long id;
+        final int zone;
+        final int cell;
+        final long startedUs;
+        boolean ready;
+        int out;
+        double limit = FIRST_PLACES;
+        double slowness = 1;        // its answers' time against its peers'
+        long slownessAtUs = now();
+        double errors;              // share of late call-outs that ended in an error
+        int errorsInARow;
+        int suspicions;
+        long lastAnswerUs = now();
+        long ejectedUntilUs = Long.MIN_VALUE;
+        long ejectUs = FIRST_EJECT_US;
+        boolean onTrial;
+        double queue;
+        long queueAtUs = Long.MIN_VALUE / 2;
+        final Deque<long[]> sentWhileCold = new ArrayDeque<>(); // emptied as its window passes
+
+        Backend(Listed entry) {
+            id = entry.backend();
+            zone = entry.zone();
+            cell = entry.cell();
+            startedUs = entry.startedAtUs();
+        }
+
+        boolean usable() {
+            return ready && now() >= ejectedUntilUs;
+        }
+
+        boolean hasPlace(Row row) {
+            return usable() && out < (onTrial ? 1 : (int) limit) && coldAllows(row);
+        }
+
+        double score() {
+            double idleS = (now() - slownessAtUs) / 1e6;
+            double slow = 1 + (slowness - 1) * Math.pow(0.5, idleS / 5);
+            double waiting = now() - queueAtUs < 1_000_000 ? queue / 2 : 0;
+            return (out + 1 + waiting) * slow / Math.pow(1 - Math.min(0.9, errors), 2);
+        }
+
+        /** This gateway's share of what a backend that has just started can take, counted as work in a window. */
+        boolean coldAllows(Row row) {
+            long ageUs = now() - startedUs;
+            if (startedUs == 0 || ageUs >= settings.warmAfterUs()) {
+                sentWhileCold.clear();
+                return true;
+            }
+            double part = settings.coldFrom() + (1 - settings.coldFrom()) * Math.max(0, ageUs) / settings.warmAfterUs();
+            double windowUs = settings.coldWindowUs();
+            double budgetUs = COLD_MARGIN * settings.coldFactor() * part * windowUs / settings.gateways();
+            double costUs = row.meanUs;
+            double spreadUs = windowUs * Math.max(1, costUs / budgetUs);
+            while (!sentWhileCold.isEmpty() && sentWhileCold.peek()[0] < now() - spreadUs) {
+                sentWhileCold.poll();
+            }
+            double spentUs = sentWhileCold.stream().mapToLong(s -> s[1]).sum();
+            return sentWhileCold.isEmpty() ? ageUs >= spreadUs * settings.ordinal() / settings.gateways()
+                    : spentUs + costUs <= budgetUs;
+        }
+
+        void sentCold(Row row) {
+            if (startedUs != 0 && now() - startedUs < settings.warmAfterUs()) {
+                sentWhileCold.add(new long[] {now(), (long) row.meanUs});
+            }
+        }
+
+        /** Never ejects all: at least half of the ready ones stay. */
+        void eject() {
+            long away = backends.values().stream().filter(b -> b.ready && now() < b.ejectedUntilUs).count();
+            long ready = backends.values().stream().filter(b -> b.ready).count();
+            if (!usable() || (away + 1) * 2 > ready) {
+                return;
+            }
+            ejectedUntilUs = now() + ejectUs;
+            ejectUs = Math.min(LAST_EJECT_US, ejectUs * 2);
+            onTrial = true;
+            suspicions = 1;
+            limit = 1;
+            at(ejectedUntilUs, Policy.this::pump);
+        }
+
+        void answered(Row row, long tookUs) {
+            lastAnswerUs = now();
+            suspicions = 0;
+            errorsInARow = 0;
+            errors *= 0.85;
+            if (onTrial && tookUs < 3 * row.meanUs) {
+                onTrial = false;
+            }
+            if (!onTrial && errors < 0.05 && slowness < 1.5) {
+                ejectUs = FIRST_EJECT_US;
+            }
+            slowness += 0.12 * (Math.min(8, tookUs / row.meanUs) - slowness);
+            slownessAtUs = now();
+            double part = (double) tookUs / row.method.softDeadlineUs();
+            if (part > SHRINK_ABOVE) {
+                limit = Math.max(1, limit * 0.9);
+            } else if (part < GROW_BELOW && out + 1 >= (int) limit) {
+                limit = Math.min(MOST_PLACES, limit + 1 / limit);
+            }
+        }
+
+        /** Fast failures look like free places: errors take places away, and many in a row eject. */
+        void failing(boolean answered) {
+            if (answered) {
+                lastAnswerUs = now();
+            }
+            errors += 0.15 * (1 - errors);
+            limit = Math.max(1, limit * 0.8);
+            if (++errorsInARow >= 3 || errors > 0.5 || onTrial) {
+                eject();
+            }
+        }
+
+        void reported(float[] report) {
+            if (queueField >= 0 && queueField < report.length) {
+                queue = report[queueField];
+                queueAtUs = now();
+            }
+        }
+    }
+
+    /** What is kept by method: its settings and what its answers usually take. */
+    private final class Row {
+        final Method method;
+        double meanUs;
+        double devUs;
+        int seen;
+
+        Row(Method method) {
+            this.method = method;
+            this.meanUs = method.softDeadlineUs() / 8.0;
+            this.devUs = meanUs / 2;
+        }
+
+        void learn(long tookUs) {
+            double share = Math.max(0.01, 1.0 / (++seen + 4));
+            double capped = Math.min(tookUs, method.softDeadlineUs());
+            devUs += share * (Math.abs(capped - meanUs) - devUs);
+            meanUs += share * (capped - meanUs);
+        }
+
+        long usualUs() {
+            return (long) (meanUs + devUs);
+        }
+
+        long patienceUs() {
+            return (long) Math.max(2 * meanUs, Math.min(meanUs + 4 * devUs, method.softDeadlineUs() / 2.0));
+        }
+    }
+
+    private static final class CallOut {
+        final Backend backend;
+        final long sentUs;
+        final int number;
+        boolean out = true;
+        boolean neverRan;
+        boolean movedOn;
+
+        CallOut(Backend backend, long sentUs, int number) {
+            this.backend = backend;
+            this.sentUs = sentUs;
+            this.number = number;
+        }
+    }
+
+    private enum Stage { NEW, COUNTING, LINE, OUT, DONE }
+
+    /** The handle of one RPC. */
+    public final class Rpc {
+        private final long id;
+        private final Row row;
+        private final Customer customer;
+        private final double units;
+        private final long softDlUs;
+        private final long giveUpAtUs;
+        private final long order = orders++;
+        private final List<CallOut> callOuts = new ArrayList<>(1);
+        private Stage stage = Stage.NEW;
+        private long startByUs;
+        private boolean admitted;
+        private boolean streaming;
+        private boolean done;
+
+        private Rpc(long id, Row row, Customer customer, double units, long leftUs) {
+            this.id = id;
+            this.row = row;
+            this.customer = customer;
+            this.units = units;
+            long marginUs = 2 * settings.tickUs() + 1_000;
+            long dlUs = now() + leftUs;
+            this.softDlUs = Math.min(dlUs, now() + row.method.softDeadlineUs());
+            this.giveUpAtUs = (row.method.lateUtility() > 0 ? dlUs : softDlUs) - marginUs;
+        }
+
+        /** A call-out has ended; over tells that the client has its answer, by this or earlier. */
+        public void callOutEnded(int number, Outcome outcome, long tookUs, boolean over, int settled, float[] report) {
+            if (number >= callOuts.size() || !callOuts.get(number).out) {
+                return;
+            }
+            CallOut callOut = callOuts.get(number);
+            Backend backend = callOut.backend;
+            callOut.out = false;
+            callOut.neverRan = outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED || outcome == Outcome.MOOT;
+            backend.out--;
+            if (report.length > 0) {
+                backend.reported(report);
+            }
+            switch (outcome) {
+                case OK -> {
+                    row.learn(tookUs);
+                    backend.answered(row, tookUs);
+                }
+                case ERROR, FULL -> backend.failing(true);
+                case CONNECT_FAILED, RESET -> backend.failing(false);
+                default -> { }
+            }
+            if (settled > 0 && settings.settles() && admitted && settled != units) {
+                customer.owed += settled - units;
+            }
+            if (!done && over) {
+                close();
+                if (settings.mayCancel()) {
+                    callOuts.stream().filter(c -> c.out).forEach(c -> host.cancelCallOut(id, c.number));
+                }
+            } else if (!done && outCount() == 0 && !line.contains(this)
+                    && (outcome == Outcome.MOOT || !sendFurther(this, !callOut.neverRan))) {
+                finish(this, 0);
+            }
+            pump();
+            arm();
+        }
+
+        public void streamStarted(int number) {
+            streaming = true;
+        }
+
+        public void clientLeft() {
+            if (!done) {
+                close();
+                if (settings.mayCancel()) {
+                    callOuts.stream().filter(c -> c.out).forEach(c -> host.cancelCallOut(id, c.number));
+                }
+                pump();
+                arm();
+            }
+        }
+
+        /** True once nothing more will come of this RPC. */
+        public boolean over() {
+            return done && outCount() == 0;
+        }
+
+        private void admit() {
+            admitted = true;
+            stage = Stage.LINE;
+        }
+
+        /** The RPC has its final answer; units that it took and never used go back. */
+        private void close() {
+            done = true;
+            if (stage == Stage.LINE || stage == Stage.OUT) {
+                line.remove(this);
+            }
+            if (callOuts.isEmpty() && admitted) {
+                customer.owed -= units;
+            } else if (!callOuts.isEmpty()) {
+                customer.open--;
+            }
+            stage = Stage.DONE;
+        }
+
+        private int outCount() {
+            int count = 0;
+            for (CallOut c : callOuts) {
+                count += c.out ? 1 : 0;
+            }
+            return count;
+        }
+
+        private boolean callOutsSpent() {
+            return callOuts.size() >= settings.mostCallOuts();
+        }
+
+        private CallOut firstThatMayHaveRun() {
+            return callOuts.stream().filter(c -> !c.neverRan).findFirst().orElse(null);
+        }
+
+        /** A pushback tells the client that a repeat is harmless: so only where it is. */
+        private boolean isHarmless() {
+            return firstThatMayHaveRun() == null || row.method.repeat() == Method.Repeat.IDEMPOTENT
+                    || row.method.repeat() == Method.Repeat.DEDUPLICATED && row.method.group() == Method.Group.ALL;
+        }
+
+        private boolean mayRepeat() {
+            return firstThatMayHaveRun() == null || row.method.repeat() != Method.Repeat.NON_IDEMPOTENT;
+        }
+
+        /** Bound to some backends: a deduplicated RPC that may have run stays in the group that knows its mark. */
+        private boolean isBound() {
+            return !callOuts.isEmpty();
+        }
+
+        private boolean mayGoTo(Backend b) {
+            CallOut first = firstThatMayHaveRun();
+            if (first == null || row.method.repeat() == Method.Repeat.IDEMPOTENT) {
+                return true;
+            }
+            return row.method.repeat() == Method.Repeat.DEDUPLICATED
+                    && now() < first.sentUs + row.method.windowUs() - 2 * settings.tickUs()
+                    && switch (row.method.group()) {
+                        case ALL -> true;
+                        case ZONE -> b.zone == first.backend.zone;
+                        case CELL -> b.zone == first.backend.zone && b.cell == first.backend.cell;
+                    };
+        }
+
+        private boolean tried(Backend b) {
+            return callOuts.stream().anyMatch(c -> c.backend.id == b.id);
+        }
+
+        private boolean isOutAt(Backend b) {
+            return callOuts.stream().anyMatch(c -> c.out && c.backend.id == b.id);
+        }
+    }
+
+    // ---- Time ----
+
+    private record Timer(long atUs, long order, Runnable what) {
+    }
+
+    private long now() {
+        return host.nowUs();
+    }
+
+    private void at(long atUs, Runnable what) {
+        timers.add(new Timer(atUs, orders++, what));
+    }
+
+    /** One wake-up is asked of the front door at a time: that of the earliest timer. */
+    private void arm() {
+        if (!timers.isEmpty() && timers.peek().atUs < wakeAtUs) {
+            wakeAtUs = timers.peek().atUs;
+            host.wakeIn(Math.max(1, wakeAtUs - now()));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/hopdrum/policy/FakeHost.java
@@ -0,0 +1,130 @@
+package hopdrum.policy;
+
+import hopdrum.host.Host;
+import hopdrum.host.Listed;
+import hopdrum.host.Method;
+import hopdrum.host.Outcome;
+import hopdrum.host.Plan;
+import hopdrum.host.Settings;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The front door of the stories: a clock that the story moves, and a list of what the module asked for. */
+final class FakeHost implements Host {
+    static final float[] NO_REPORT = {};
+    final List<String> asked = new ArrayList<>();
+    final List<Long> names = new ArrayList<>();
+    Method method = new Method(2_000_000, Method.Repeat.IDEMPOTENT, Method.Group.ALL, 0, 0, false);
+    Plan plan = new Plan(2, 4, 0, 0, 0, 0);
+    int gateways = 2;
+    boolean secondCopies = true;
+    long clockUs = 90_000_000;
+    Policy policy;
+    private long wakeUs = Long.MAX_VALUE;
+    private long lastId;
+
+    FakeHost start(int backends) {
+        policy = new Policy(new Settings(gateways, 0, 0, 1_000, List.of(method), List.of(plan), true, 50_000, false,
+                3, true, false, false, true, 1_000_000, secondCopies, false, 0, false, List.of("depth"), true,
+                0.2, 10_000_000, 2, 1_500_000, 250_000), 7, this);
+        for (int i = 1; i <= backends; i++) {
+            list(i, Listed.State.READY, 0);
+        }
+        return this;
+    }
+
+    void list(long backend, Listed.State state, long startedAtUs) {
+        policy.listed(Listed.Form.CHANGES,
+                List.of(new Listed(backend, 0, 0, (int) backend % 2, state, 1, startedAtUs)));
+    }
+
+    Policy.Rpc take() {
+        return policy.take(++lastId, 0, 11, 0, 1, 0, 2, 7_500_000);
+    }
+
+    /** Takes an RPC and has the counter answer its call with this total. */
+    Policy.Rpc takeCounted(double total) {
+        Policy.Rpc rpc = take();
+        answer(total);
+        return rpc;
+    }
+
+    void answer(double total) {
+        policy.counted(names.get(names.size() - 1), Outcome.OK, total, 1_000);
+    }
+
+    void end(Policy.Rpc rpc, int callOut, Outcome outcome, long tookUs) {
+        rpc.callOutEnded(callOut, outcome, tookUs, outcome == Outcome.OK, 0, NO_REPORT);
+    }
+
+    /** Lets time pass, with every wake-up that comes due. */
+    void pass(long us) {
+        long endUs = clockUs + us;
+        while (wakeUs <= endUs) {
+            clockUs = Math.max(clockUs, wakeUs);
+            wakeUs = Long.MAX_VALUE;
+            policy.wake();
+        }
+        clockUs = endUs;
+    }
+
+    List<String> heard(String what) {
+        return asked.stream().filter(a -> a.startsWith(what)).toList();
+    }
+
+    @Override
+    public long nowUs() {
+        return clockUs;
+    }
+
+    @Override
+    public void callOut(long rpc, long backend, long timeOutUs) {
+        asked.add("call-out " + rpc + " to " + backend);
+    }
+
+    @Override
+    public void cancelCallOut(long rpc, int callOut) {
+        asked.add("cancel " + rpc + " " + callOut);
+    }
+
+    @Override
+    public void pushBack(long rpc, long retryAfterUs) {
+        asked.add("push back " + rpc + " for " + retryAfterUs);
+    }
+
+    @Override
+    public void abort(long rpc) {
+        asked.add("abort " + rpc);
+    }
+
+    @Override
+    public void addToCount(long name, double units, long timeToLiveUs) {
+        asked.add("add " + units);
+        names.add(name);
+    }
+
+    @Override
+    public void wakeIn(long delayUs) {
+        wakeUs = Math.min(wakeUs, clockUs + delayUs);
+    }
+
+    @Override
+    public void probe(long backend) {
+        asked.add("probe " + backend);
+    }
+
+    @Override
+    public void tell(int peer, byte[] payload) {
+        asked.add("tell " + peer);
+    }
+
+    @Override
+    public void followList() {
+        asked.add("follow");
+    }
+
+    @Override
+    public void log(String line) {
+        asked.add("log " + line);
+    }
+}
