--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -177,12 +177,15 @@
             customer.lastUsedUs = now();
             long waitUs = customer.beyondUntilUs - now();
             if (customer.openIsFull() || waitUs > 0 && plan.rate() > 0) {
-                finish(rpc, Math.max(waitUs, 0));
+                finish(rpc, customer.returnIn(Math.max(waitUs, 0), rpc.units));
                 return;
             }
             // 2. Ask: one call on the customer's count, which adds the units; the answer comes to customer.answered().
             if (plan.rate() <= 0) {
                 rpc.stage = Stage.LINE;
+            } else if (customer.awaitsVerdict(rpc)) {
+                customer.waiting.add(rpc); // the credit known is spoken for by calls still out
+                return;
             } else if (counterMayBeAsked()) {
                 rpc.stage = Stage.COUNTING;
                 customer.ask(rpc);
@@ -358,6 +361,12 @@
         if (count.rpc != null && count.rpc.stage == Stage.COUNTING && !count.rpc.done) {
             count.customer.decideLocally(count.rpc);
         }
+        while (!count.customer.waiting.isEmpty()) {
+            Rpc next = count.customer.waiting.poll();
+            if (!next.done) {
+                count.customer.decideLocally(next);
+            }
+        }
     }
 
     private Customer customerOf(long key, int plan, int gateways) {
@@ -374,7 +383,8 @@
         final long key;
         final Plan plan;
         final int gateways;
-        final Deque<Count> pending = new ArrayDeque<>(2);
+        final Deque<Count> pending = new ArrayDeque<>(2);  // emptied by answers; each call gets one
+        final Deque<Rpc> waiting = new ArrayDeque<>(1);    // emptied when a call of pending is answered or silent
         double credit = -1;         // as last read, less what was let in since
         long creditAtUs = Long.MIN_VALUE;
         long beyondUntilUs = Long.MIN_VALUE / 2;
@@ -382,6 +392,7 @@
         double bucket = -1;         // the split leaky bucket; below 0: none
         long bucketAtUs;
         long lastUsedUs;
+        long nextReturnUs = Long.MIN_VALUE / 2;
         int open;
 
         Customer(long key, Plan plan, int gateways) {
@@ -403,6 +414,32 @@
             return Math.min(plan.burst(), credit + plan.rate() * (now() - creditAtUs) / 1e6);
         }
 
+        /**
+         * Guards the counter against a customer that comes all at once (many tries beyond its quota, clients that
+         * return together): no more calls are out than the credit known could let in, and one.
+         */
+        boolean awaitsVerdict(Rpc rpc) {
+            if (!isRemembered()) {
+                return false;
+            }
+            double asked = 0;
+            for (Count count : pending) {
+                asked += count.rpc != null && !count.silent ? count.rpc.units : 0;
+            }
+            return asked > 0 && asked + rpc.units > creditNow();
+        }
+
+        /** Names a time to come back: clients that are pushed back return as the refill could serve them. */
+        long returnIn(long waitUs, double units) {
+            long soonestUs = Math.max(now() + waitUs, nextReturnUs);
+            nextReturnUs = plan.rate() > 0 ? soonestUs + (long) (units / plan.rate() * 1e6) : soonestUs;
+            if (soonestUs > now() + settings.mostRetryAfterUs()) { // more than can be named: spread over what can
+                nextReturnUs = soonestUs;
+                return (long) (settings.mostRetryAfterUs() * (0.5 + 0.5 * random.nextDouble()));
+            }
+            return soonestUs - now();
+        }
+
         boolean isRemembered() {
             return creditAtUs != Long.MIN_VALUE;
         }
@@ -482,8 +519,13 @@
                 long waitUs = (long) (-room / plan.rate() * 1e6);
                 beyondUntilUs = now() + waitUs;
                 know(room + rpc.units);
-                rpc.stage = Stage.DONE;
-                finish(rpc, waitUs);
+                finish(rpc, returnIn(waitUs, rpc.units));
+            }
+            while (!waiting.isEmpty() && (waiting.peek().done || !awaitsVerdict(waiting.peek()))) {
+                Rpc next = waiting.poll();
+                if (!next.done) {
+                    advance(next);
+                }
             }
         }
 
@@ -520,7 +562,7 @@
                 rpc.admit();
                 advance(rpc);
             } else {
-                finish(rpc, (long) ((rpc.units - bucket) / (plan.rate() / gateways) * 1e6));
+                finish(rpc, returnIn((long) ((rpc.units - bucket) / (plan.rate() / gateways) * 1e6), rpc.units));
             }
         }
     }
