A client's repeat past its soft deadline goes back before it takes units

Cause: repeats answered after the soft deadline of their first try earned nothing and used up quota. A try's time left tells its age: the client's whole time runs on over its tries. It should also help wherever clients come back late; it could harm a client whose tries all differ in length.

--- a/src/main/java/hopdrum/benchlink/SettingsReader.java
+++ b/src/main/java/hopdrum/benchlink/SettingsReader.java
@@ -32,7 +32,7 @@
             Method.Repeat repeat = choice(at + "Effect", Map.of("retryable", Method.Repeat.IDEMPOTENT, "dedup",
                     Method.Repeat.DEDUPLICATED, "fragile", Method.Repeat.NON_IDEMPOTENT));
             boolean dedup = repeat == Method.Repeat.DEDUPLICATED;
-            methods.add(new Method(whole(at + "AimUs"), repeat,
+            methods.add(new Method(whole(at + "AimUs"), whole(at + "GiveUpUs"), repeat,
                     dedup ? choice(at + "Group", Map.of("all", Method.Group.ALL, "zone", Method.Group.ZONE,
                             "cell", Method.Group.CELL)) : Method.Group.ALL,
                     dedup ? whole(at + "WindowUs") : 0, number(at + "LateWorth", 0), flag(at + "Stream", false)));
--- a/src/main/java/hopdrum/host/Method.java
+++ b/src/main/java/hopdrum/host/Method.java
@@ -1,7 +1,7 @@
 package hopdrum.host;
 
 /** One method's row: what the module reads of it. */
-public record Method(long softDeadlineUs, Repeat repeat, Group group, long windowUs, double lateUtility,
+public record Method(long softDeadlineUs, long deadlineUs, Repeat repeat, Group group, long windowUs, double lateUtility,
                      boolean stream) {
     public enum Repeat { IDEMPOTENT, DEDUPLICATED, NON_IDEMPOTENT }
 
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -45,6 +45,7 @@
     private static final double REPEATS_PER_RPC = 0.1;
     private static final double MOST_REPEATS = 15;
     private static final double COLD_MARGIN = 0.7;
+    private static final long AGE_NOISE_US = 20_000;   // two first tries differ by less, on their way here
     private static final long SWEEP_US = 2_000_000;
 
     private final Settings settings;
@@ -175,6 +176,10 @@
         if (rpc.stage == Stage.NEW) {
             // 1. Beyond quota for certain: more than its share open, or a reading not yet refilled says so.
             customer.lastUsedUs = now();
+            if (rpc.isTooLate()) {
+                finish(rpc, 0); // a client's repeat whose soft deadline has passed takes no units
+                return;
+            }
             long waitUs = customer.beyondUntilUs - now();
             if (customer.openIsFull() || waitUs > 0 && plan.rate() > 0) {
                 finish(rpc, customer.returnIn(Math.max(waitUs, 0), rpc.units));
@@ -200,7 +205,6 @@
         }
         if (rpc.stage == Stage.LINE) {
             // 3. Wait in line until a backend's place comes free; pump() sends it on in its turn.
-            rpc.startByUs = rpc.softDlUs - rpc.row.usualUs();
             line.add(rpc);
             pump();
         }
@@ -212,7 +216,7 @@
         List<Rpc> bound = null;
         while (!line.isEmpty()) {
             Rpc rpc = line.peek();
-            if (rpc.callOuts.isEmpty() && rpc.row.method.lateUtility() <= 0 && now() > rpc.startByUs) {
+            if (rpc.callOuts.isEmpty() && rpc.isTooLate()) {
                 line.poll();
                 finish(rpc, 0); // it cannot meet its soft deadline any more: back while that is harmless
                 continue;
@@ -297,7 +301,6 @@
         if (mayHaveRun) {
             repeats -= 1;
         }
-        rpc.startByUs = rpc.softDlUs - rpc.row.usualUs();
         line.add(rpc);
         return true;
     }
@@ -720,6 +723,7 @@
         double meanUs;
         double devUs;
         int seen;
+        long longestLeftUs;
 
         Row(Method method) {
             this.method = method;
@@ -727,6 +731,12 @@
             this.devUs = meanUs / 2;
         }
 
+        /** How long the client has been asking: its whole time runs on over all its tries, a first try has the most. */
+        long ageUs(long leftUs) {
+            longestLeftUs = Math.max(longestLeftUs, leftUs);
+            return leftUs < longestLeftUs - AGE_NOISE_US ? Math.max(0, method.deadlineUs() - leftUs) : 0;
+        }
+
         void learn(long tookUs) {
             double share = Math.max(0.01, 1.0 / (++seen + 4));
             double capped = Math.min(tookUs, method.softDeadlineUs());
@@ -767,11 +777,11 @@
         private final Customer customer;
         private final double units;
         private final long softDlUs;
+        private final long startByUs; // later it is not likely to meet its soft deadline
         private final long giveUpAtUs;
         private final long order = orders++;
         private final List<CallOut> callOuts = new ArrayList<>(1);
         private Stage stage = Stage.NEW;
-        private long startByUs;
         private boolean admitted;
         private boolean streaming;
         private boolean done;
@@ -783,7 +793,8 @@
             this.units = units;
             long marginUs = 2 * settings.tickUs() + 1_000;
             long dlUs = now() + leftUs;
-            this.softDlUs = Math.min(dlUs, now() + row.method.softDeadlineUs());
+            this.softDlUs = Math.min(dlUs, now() + row.method.softDeadlineUs() - row.ageUs(leftUs));
+            this.startByUs = softDlUs - row.usualUs();
             this.giveUpAtUs = (row.method.lateUtility() > 0 ? dlUs : softDlUs) - marginUs;
         }
 
@@ -880,6 +891,10 @@
             return callOuts.stream().filter(c -> !c.neverRan).findFirst().orElse(null);
         }
 
+        private boolean isTooLate() {
+            return row.method.lateUtility() <= 0 && now() > startByUs;
+        }
+
         /** A pushback tells the client that a repeat is harmless: so only where it is. */
         private boolean isHarmless() {
             return firstThatMayHaveRun() == null || row.method.repeat() == Method.Repeat.IDEMPOTENT
--- a/src/test/java/hopdrum/policy/FakeHost.java
+++ b/src/test/java/hopdrum/policy/FakeHost.java
@@ -14,7 +14,7 @@
     static final float[] NO_REPORT = {};
     final List<String> asked = new ArrayList<>();
     final List<Long> names = new ArrayList<>();
-    Method method = new Method(2_000_000, Method.Repeat.IDEMPOTENT, Method.Group.ALL, 0, 0, false);
+    Method method = new Method(2_000_000, 7_500_000, Method.Repeat.IDEMPOTENT, Method.Group.ALL, 0, 0, false);
     Plan plan = new Plan(2, 4, 0, 0, 0, 0);
     int gateways = 2;
     boolean secondCopies = true;
