--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -723,7 +723,8 @@
         double meanUs;
         double devUs;
         int seen;
-        long longestLeftUs;
+        final long[] leftSeen = new long[8];  // how long clients will still wait, and how often seen
+        final int[] leftCount = new int[8];
 
         Row(Method method) {
             this.method = method;
@@ -731,10 +732,32 @@
             this.devUs = meanUs / 2;
         }
 
-        /** How long the client has been asking: its whole time runs on over all its tries, a first try has the most. */
+        /**
+         * How long the client has been asking. First tries all have the same time left, the most common one; a try
+         * with another has what remains of the client's whole time. Misra and Gries' count finds the common one.
+         */
         long ageUs(long leftUs) {
-            longestLeftUs = Math.max(longestLeftUs, leftUs);
-            return leftUs < longestLeftUs - AGE_NOISE_US ? Math.max(0, method.deadlineUs() - leftUs) : 0;
+            int common = 0;
+            int mine = -1;
+            int free = -1;
+            for (int i = 0; i < leftSeen.length; i++) {
+                common = leftCount[i] > leftCount[common] ? i : common;
+                mine = leftCount[i] > 0 && Math.abs(leftSeen[i] - leftUs) < AGE_NOISE_US ? i : mine;
+                free = leftCount[i] == 0 ? i : free;
+            }
+            if (mine < 0 && free >= 0) {
+                leftSeen[free] = leftUs;
+                mine = free;
+            }
+            if (mine >= 0) {
+                leftCount[mine]++;
+            } else {
+                for (int i = 0; i < leftSeen.length; i++) {
+                    leftCount[i]--;
+                }
+            }
+            boolean first = mine >= 0 && leftCount[mine] >= leftCount[common];
+            return first ? 0 : Math.max(0, method.deadlineUs() - leftUs);
         }
 
         void learn(long tookUs) {
@@ -745,7 +768,7 @@
         }
 
         long usualUs() {
-            return (long) (meanUs + devUs);
+            return (long) Math.min(meanUs + devUs, method.softDeadlineUs() / 2.0);
         }
 
         long patienceUs() {
