Give-ups of RPCs still out shrink places; leave the line earlier

Should also hold for any backend that slows under load; could harm where one RPC's own work is far above the usual.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -307,6 +307,11 @@
 
     private void outOfTime(Rpc rpc) {
         if (!rpc.done && !rpc.streaming) {
+            for (CallOut callOut : rpc.callOuts) {
+                if (callOut.out) {
+                    callOut.backend.tookTooLong(rpc.row, now() - callOut.sentUs);
+                }
+            }
             finish(rpc, 0);
         }
     }
@@ -697,6 +702,16 @@
             }
         }
 
+        /** An answer that nobody could wait for says as much as a late one: places are too many. */
+        void tookTooLong(Row row, long soFarUs) {
+            limit = Math.max(1, limit * 0.9);
+            if (soFarUs > row.meanUs) {
+                row.learn(soFarUs);
+                slowness += 0.12 * (Math.min(8, soFarUs / row.meanUs) - slowness);
+                slownessAtUs = now();
+            }
+        }
+
         /** Fast failures look like free places: errors take places away, and many in a row eject. */
         void failing(boolean answered) {
             if (answered) {
@@ -768,7 +783,7 @@
         }
 
         long usualUs() {
-            return (long) Math.min(meanUs + devUs, method.softDeadlineUs() / 2.0);
+            return (long) Math.min(meanUs + 3 * devUs, method.softDeadlineUs() * 0.7);
         }
 
         long patienceUs() {
