Pace the calls to a crowded or silent counter; the breaker is folded into it

Answers tell the pace it can keep, in the manner of TCP; a dead counter gets five trials a second. It should also cover slow, refusing and silent counters; it could harm by holding to a low pace after a short fault.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -30,9 +30,8 @@
     private static final long EPOCH_US = 60_000_000;
     private static final int CUSTOMER_BITS = 33;
     private static final long LEAST_TIME_OUT_US = 5_000;
-    private static final int SILENCES_TO_OPEN = 4;
-    private static final long FIRST_TRIAL_US = 100_000;
-    private static final long LAST_TRIAL_US = 800_000;
+    private static final long PACE_WINDOW_US = 200_000;
+    private static final double LEAST_PACE = 5;        // calls a second: what a dead counter is tried with
     private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
     // The line and the places.
     private static final double FIRST_PLACES = 2;
@@ -67,9 +66,14 @@
     private double answerUs = LEAST_TIME_OUT_US / 4.0;
     private double answerDevUs = LEAST_TIME_OUT_US / 4.0;
     private long lastAnswerUs = Long.MIN_VALUE / 2;
-    private int silences;
-    private long trialGapUs = FIRST_TRIAL_US;
-    private long nextTrialUs;
+    private double pace = Double.MAX_VALUE;     // calls a second that the counter is asked for at most
+    private double knownGoodPace = Double.MAX_VALUE;
+    private double allowance = 1;               // calls that may be made now
+    private long allowanceAtUs;
+    private long paceWindowUs;
+    private int callsInWindow;
+    private int answersInWindow;
+    private int turnedAwayInWindow;
 
     public Policy(Settings settings, long seed, Host host) {
         this.settings = settings;
@@ -117,12 +121,12 @@
         }
         if (outcome == Outcome.OK) {
             lastAnswerUs = now();
-            silences = 0;
-            trialGapUs = FIRST_TRIAL_US;
+            answersInWindow++;
             answerDevUs += (Math.abs(tookUs - answerUs) - answerDevUs) / 4;
             answerUs += (tookUs - answerUs) / 8;
             customer.answered(count, total);
         } else {
+            turnedAwayInWindow++;
             if (!count.silent) {
                 silence(count);
             }
@@ -194,9 +198,6 @@
             } else if (counterMayBeAsked()) {
                 rpc.stage = Stage.COUNTING;
                 customer.ask(rpc);
-                if (silences >= SILENCES_TO_OPEN) {
-                    customer.decideLocally(rpc); // a trial: nobody waits for it
-                }
                 return;
             } else {
                 customer.decideLocally(rpc);
@@ -345,27 +346,53 @@
         return Math.min(most, Math.max(LEAST_TIME_OUT_US, (long) (answerUs + 4 * answerDevUs)));
     }
 
-    /** The breaker: once the counter was silent, only sparse trials reach it until one is answered. */
+    /**
+     * Guards a counter that is crowded, slow, refusing or dead, whatever the cause: calls that are turned away or
+     * never answered lower the pace to what was answered, in the manner of TCP; a dead one is tried now and then.
+     * An RPC above the pace is decided by the leaky bucket, and its units ride on the customer's next call.
+     */
     private boolean counterMayBeAsked() {
         if (!settings.mayCount()) {
             return false;
         }
-        if (silences < SILENCES_TO_OPEN) {
+        adaptPace();
+        if (pace == Double.MAX_VALUE) {
             return true;
         }
-        if (now() < nextTrialUs) {
+        allowance = Math.min(Math.max(1, pace / 20), allowance + pace * (now() - allowanceAtUs) / 1e6);
+        allowanceAtUs = now();
+        if (allowance < 1) {
             return false;
         }
-        nextTrialUs = now() + trialGapUs;
-        trialGapUs = Math.min(LAST_TRIAL_US, trialGapUs * 2);
+        allowance -= 1;
         return true;
     }
 
+    private void adaptPace() {
+        double windowS = (now() - paceWindowUs) / 1e6;
+        if (now() - paceWindowUs < PACE_WINDOW_US) {
+            return;
+        }
+        double answered = answersInWindow / windowS;
+        if (turnedAwayInWindow > 0.02 * callsInWindow && turnedAwayInWindow > 1 || answersInWindow == 0
+                && turnedAwayInWindow > 0) {
+            if (answersInWindow > 0) {
+                knownGoodPace = 0.85 * Math.min(pace, answered);
+            } else if (knownGoodPace == Double.MAX_VALUE) {
+                knownGoodPace = pace == Double.MAX_VALUE ? callsInWindow / windowS : pace;
+            }
+            pace = Math.max(LEAST_PACE, answersInWindow > 0 ? knownGoodPace : LEAST_PACE);
+        } else if (pace < Double.MAX_VALUE && answersInWindow > 0 && callsInWindow >= 0.7 * pace * windowS) {
+            pace *= pace < knownGoodPace ? 2 : 1.05;
+        }
+        paceWindowUs = now();
+        callsInWindow = 0;
+        answersInWindow = 0;
+        turnedAwayInWindow = 0;
+    }
+
     private void silence(Count count) {
         count.silent = true;
-        if (lastAnswerUs < count.sentUs && ++silences == SILENCES_TO_OPEN) {
-            nextTrialUs = now() + trialGapUs;
-        }
         if (count.rpc != null && count.rpc.stage == Stage.COUNTING && !count.rpc.done) {
             count.customer.decideLocally(count.rpc);
         }
@@ -471,10 +498,20 @@
         Count add(long name, double amount) {
             Count count = new Count(this, name, amount, now());
             pending.add(count);
+            callsInWindow++;
             host.addToCount(name, amount, EPOCH_US);
             return count;
         }
 
+        /** A negative add; while the counter is paced it rides on the next call. */
+        void giveBack(long name, double units) {
+            if (pace == Double.MAX_VALUE) {
+                add(name, -units);
+            } else {
+                owed -= units;
+            }
+        }
+
         Count nextOf(long name) {
             for (Iterator<Count> all = pending.iterator(); all.hasNext(); ) {
                 Count count = all.next();
@@ -514,7 +551,7 @@
             bucket = -1;
             if (rpc.stage != Stage.COUNTING) { // answered late, decided by the leaky bucket meanwhile
                 if (!rpc.admitted) {
-                    add(count.name, -rpc.units);
+                    giveBack(count.name, rpc.units);
                     room += rpc.units;
                 }
                 know(room);
@@ -523,7 +560,7 @@
                 rpc.admit();
                 advance(rpc);
             } else {
-                add(count.name, -rpc.units);
+                giveBack(count.name, rpc.units);
                 long waitUs = (long) (-room / plan.rate() * 1e6);
                 beyondUntilUs = now() + waitUs;
                 know(room + rpc.units);
