--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -32,6 +32,7 @@
     private static final long LEAST_TIME_OUT_US = 5_000;
     private static final long PACE_WINDOW_US = 200_000;
     private static final double LEAST_PACE = 5;        // calls a second: what a dead counter is tried with
+    private static final long OUTAGE_US = 1_000_000;   // of silence: what was spent before it has been refilled
     private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
     // The line and the places.
     private static final double FIRST_PLACES = 2;
@@ -120,6 +121,9 @@
             return;
         }
         if (outcome == Outcome.OK) {
+            if (now() - lastAnswerUs > OUTAGE_US) {
+                customers.values().forEach(Customer::forgetRefilled);
+            }
             lastAnswerUs = now();
             answersInWindow++;
             answerDevUs += (Math.abs(tookUs - answerUs) - answerDevUs) / 4;
@@ -588,16 +592,28 @@
             return plan.ceilingRate() > 0 ? Math.max(0, Math.min(plan.burst(), spare)) : plan.burst();
         }
 
+        double bucketNow(double units) {
+            double depth = Math.max(units, plan.burst() / gateways);
+            if (bucket >= 0) {
+                return Math.min(depth, bucket + plan.rate() / gateways * (now() - bucketAtUs) / 1e6);
+            }
+            double known = isRemembered() ? creditNow() : Math.min(plan.burst(), plan.rate() * (now() - startedUs) / 1e6);
+            return Math.max(0, Math.min(depth, known / gateways));
+        }
+
+        /**
+         * After an outage each gateway owes the count only what its leaky bucket still lacks: the rest has been
+         * refilled, and whoever reads the count first trims it to a full burst. All of it would be a debt.
+         */
+        void forgetRefilled() {
+            if (bucket >= 0 && owed > 0) {
+                owed = Math.min(owed, Math.max(0, plan.burst() / gateways - bucketNow(0)));
+            }
+        }
+
         /** The counter is silent: a leaky bucket with this gateway's share, started from what it knows. */
         void decideLocally(Rpc rpc) {
-            double depth = Math.max(rpc.units, plan.burst() / gateways);
-            if (bucket < 0) {
-                double known = isRemembered() ? creditNow()
-                        : Math.min(plan.burst(), plan.rate() * (now() - startedUs) / 1e6);
-                bucket = Math.max(0, Math.min(depth, known / gateways));
-            } else {
-                bucket = Math.min(depth, bucket + plan.rate() / gateways * (now() - bucketAtUs) / 1e6);
-            }
+            bucket = bucketNow(rpc.units);
             bucketAtUs = now();
             boolean counted = rpc.stage == Stage.COUNTING;
             if (bucket >= rpc.units) {
