--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -199,7 +199,7 @@
             } else if (customer.awaitsVerdict(rpc)) {
                 customer.waiting.add(rpc); // the credit known is spoken for by calls still out
                 return;
-            } else if (counterMayBeAsked()) {
+            } else if (counterMayBeAsked(customer, rpc)) {
                 rpc.stage = Stage.COUNTING;
                 customer.ask(rpc);
                 return;
@@ -355,7 +355,7 @@
      * never answered lower the pace to what was answered, in the manner of TCP; a dead one is tried now and then.
      * An RPC above the pace is decided by the leaky bucket, and its units ride on the customer's next call.
      */
-    private boolean counterMayBeAsked() {
+    private boolean counterMayBeAsked(Customer customer, Rpc rpc) {
         if (!settings.mayCount()) {
             return false;
         }
@@ -363,9 +363,11 @@
         if (pace == Double.MAX_VALUE) {
             return true;
         }
-        allowance = Math.min(Math.max(1, pace / 20), allowance + pace * (now() - allowanceAtUs) / 1e6);
+        double most = Math.max(1, pace / 20);
+        allowance = Math.min(most, allowance + pace * (now() - allowanceAtUs) / 1e6);
         allowanceAtUs = now();
-        if (allowance < 1) {
+        // Whoever the leaky bucket would let in can do without; the rest is kept for whom only a reading helps.
+        if (allowance < 1 || allowance < most / 2 && customer.bucketNow(rpc.units) >= rpc.units) {
             return false;
         }
         allowance -= 1;
