--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -199,7 +199,7 @@
             } else if (customer.awaitsVerdict(rpc)) {
                 customer.waiting.add(rpc); // the credit known is spoken for by calls still out
                 return;
-            } else if (counterMayBeAsked(customer, rpc)) {
+            } else if (counterMayBeAsked()) {
                 rpc.stage = Stage.COUNTING;
                 customer.ask(rpc);
                 return;
@@ -355,7 +355,7 @@
      * never answered lower the pace to what was answered, in the manner of TCP; a dead one is tried now and then.
      * An RPC above the pace is decided by the leaky bucket, and its units ride on the customer's next call.
      */
-    private boolean counterMayBeAsked(Customer customer, Rpc rpc) {
+    private boolean counterMayBeAsked() {
         if (!settings.mayCount()) {
             return false;
         }
@@ -363,11 +363,9 @@
         if (pace == Double.MAX_VALUE) {
             return true;
         }
-        double most = Math.max(1, pace / 20);
-        allowance = Math.min(most, allowance + pace * (now() - allowanceAtUs) / 1e6);
+        allowance = Math.min(Math.max(1, pace / 20), allowance + pace * (now() - allowanceAtUs) / 1e6);
         allowanceAtUs = now();
-        // Whoever the leaky bucket would let in can do without; the rest is kept for whom only a reading helps.
-        if (allowance < 1 || allowance < most / 2 && customer.bucketNow(rpc.units) >= rpc.units) {
+        if (allowance < 1) {
             return false;
         }
         allowance -= 1;
