Size the cold budget by what warm peers take, in the least time of an answer

Told apart by p50 of 1.5 s at busiest/mean 4. Could harm where one gateway misjudges its peers; the sum over gateways stays within what warm peers take.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -46,6 +46,7 @@
     private static final double MOST_REPEATS = 15;
     private static final double COLD_MARGIN = 0.7;
     private static final long AGE_NOISE_US = 20_000;   // two first tries differ by less, on their way here
+    private static final double TAKEN_OVER_US = 3e6;
     private static final long SWEEP_US = 2_000_000;
 
     private final Settings settings;
@@ -654,8 +655,11 @@
         final long id;
         final int zone;
         final int cell;
+        final double weight;
         final long startedUs;
         boolean ready;
+        double taken;               // work answered here of late, in cores
+        long takenAtUs;
         int out;
         double limit = FIRST_PLACES;
         double slowness = 1;        // its answers' time against its peers'
@@ -675,6 +679,7 @@
             id = entry.backend();
             zone = entry.zone();
             cell = entry.cell();
+            weight = entry.weight();
             startedUs = entry.startedAtUs();
         }
 
@@ -696,14 +701,15 @@
         /** This gateway's share of what a backend that has just started can take, counted as work in a window. */
         boolean coldAllows(Row row) {
             long ageUs = now() - startedUs;
-            if (startedUs == 0 || ageUs >= settings.warmAfterUs()) {
+            if (!isCold()) {
                 sentWhileCold.clear();
                 return true;
             }
             double part = settings.coldFrom() + (1 - settings.coldFrom()) * Math.max(0, ageUs) / settings.warmAfterUs();
             double windowUs = settings.coldWindowUs();
-            double budgetUs = COLD_MARGIN * settings.coldFactor() * part * windowUs / settings.gateways();
-            double costUs = row.meanUs;
+            double budgetUs = COLD_MARGIN * settings.coldFactor() * part * windowUs * warmPeersTake()
+                    / settings.gateways();
+            double costUs = row.leastUs;
             double spreadUs = windowUs * Math.max(1, costUs / budgetUs);
             while (!sentWhileCold.isEmpty() && sentWhileCold.peek()[0] < now() - spreadUs) {
                 sentWhileCold.poll();
@@ -714,11 +720,33 @@
         }
 
         void sentCold(Row row) {
-            if (startedUs != 0 && now() - startedUs < settings.warmAfterUs()) {
-                sentWhileCold.add(new long[] {now(), (long) row.meanUs});
+            if (isCold()) {
+                sentWhileCold.add(new long[] {now(), (long) row.leastUs});
             }
         }
 
+        /** Cores' worth of work that a warm backend of this size takes, as far as it shows; never under one core. */
+        double warmPeersTake() {
+            double taken = 0;
+            double size = 0;
+            for (Backend b : backends.values()) {
+                if (b.ready && !b.isCold() && now() >= b.ejectedUntilUs) {
+                    taken += b.takenNow();
+                    size += settings.weightIsSize() ? b.weight : 1;
+                }
+            }
+            double mySize = settings.weightIsSize() ? weight : 1;
+            return size <= 0 ? 1 : Math.max(1, taken / size * mySize * settings.gateways());
+        }
+
+        double takenNow() {
+            return taken * Math.exp((takenAtUs - now()) / TAKEN_OVER_US);
+        }
+
+        boolean isCold() {
+            return startedUs != 0 && now() - startedUs < settings.warmAfterUs();
+        }
+
         /** Never ejects all: at least half of the ready ones stay. */
         void eject() {
             long away = backends.values().stream().filter(b -> b.ready && now() < b.ejectedUntilUs).count();
@@ -738,6 +766,8 @@
             lastAnswerUs = now();
             suspicions = 0;
             errorsInARow = 0;
+            taken = takenNow() + row.leastUs / TAKEN_OVER_US;
+            takenAtUs = now();
             errors *= 0.85;
             if (onTrial && tookUs < 3 * row.meanUs) {
                 onTrial = false;
@@ -791,6 +821,7 @@
         double meanUs;
         double devUs;
         int seen;
+        double leastUs;             // the least mean of late: what an answer takes where nothing waits
         final long[] leftSeen = new long[8];  // how long clients will still wait, and how often seen
         final int[] leftCount = new int[8];
 
@@ -798,6 +829,7 @@
             this.method = method;
             this.meanUs = method.softDeadlineUs() / 8.0;
             this.devUs = meanUs / 2;
+            this.leastUs = meanUs;
         }
 
         /**
@@ -833,6 +865,7 @@
             double capped = Math.min(tookUs, method.softDeadlineUs());
             devUs += share * (Math.abs(capped - meanUs) - devUs);
             meanUs += share * (capped - meanUs);
+            leastUs = Math.min(leastUs * 1.0002, meanUs);
         }
 
         long usualUs() {
