--- a/src/main/java/hopdrum/host/Host.java
+++ b/src/main/java/hopdrum/host/Host.java
@@ -19,12 +19,6 @@
 
     void wakeIn(long delayUs);
 
-    void probe(long backend);
-
-    void tell(int peer, byte[] payload);
-
     /** Follows the list of backends, where it has to be asked for. */
     void followList();
-
-    void log(String line);
 }
--- a/src/main/java/hopdrum/host/Settings.java
+++ b/src/main/java/hopdrum/host/Settings.java
@@ -3,11 +3,10 @@
 import java.util.List;
 
 /** What a gateway is told of its deployment at start. */
-public record Settings(int gateways, int ordinal, int zone, long tickUs, List<Method> methods, List<Plan> plans,
+public record Settings(int gateways, int ordinal, long tickUs, List<Method> methods, List<Plan> plans,
                        boolean mayCount, long countWaitUs, boolean settles,
-                       int mostCallOuts, boolean mayCancel, boolean mayProbe, boolean mayTell,
-                       boolean retryAfter, long mostRetryAfterUs, boolean secondCopies, boolean mustAskForList,
-                       long mustAskInUs, boolean weightIsSize, List<String> reportFields, boolean reportInAnswers,
-                       double coldFrom, long warmAfterUs, double coldFactor, long coldWindowUs,
-                       long connectTimeOutUs) {
+                       int mostCallOuts, boolean mayCancel, boolean retryAfter,
+                       long mostRetryAfterUs, boolean secondCopies, boolean mustAskForList,
+                       boolean weightIsSize, List<String> reportFields,
+                       double coldFrom, long warmAfterUs, double coldFactor, long coldWindowUs) {
 }
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -20,19 +20,21 @@
 /**
  * All decisions of one gateway. A front door makes one Policy for each start and calls it from one thread:
  * take() for a new RPC, which returns its handle; all later news of that RPC is a call on the handle (Rpc).
- * News that belongs to no RPC comes by counted(), listed(), probed(), heard() and wake().
+ * News that belongs to no RPC comes by counted(), listed() and wake().
  * The Policy answers by calls on Host while it is being called; hopdrum.host holds that interface and the
  * types of the settings. Read advance() first: it is the ordinary path of an RPC from top to bottom.
  * Times are microseconds. Nothing here knows a deployment, a method or a customer by name.
  */
 public final class Policy {
+    private static final long NEVER = Long.MIN_VALUE / 2;
     // The quota count. An epoch is the longest time that the counter keeps a name.
     private static final long EPOCH_US = 60_000_000;
     private static final int CUSTOMER_BITS = 33;
     private static final long LEAST_TIME_OUT_US = 5_000;
     private static final long PACE_WINDOW_US = 200_000;
     private static final double LEAST_PACE = 5;        // calls a second: what a dead counter is tried with
-    private static final long OUTAGE_US = 1_000_000;   // of silence: what was spent before it has been refilled
+    private static final long OUTAGE_US = 1_000_000;   // of silence: what was spent before is refilled
+    private static final long LEAST_KEPT_US = 5_000_000;
     private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
     // The line and the places.
     private static final double FIRST_PLACES = 2;
@@ -67,7 +69,7 @@
     // The counter as a whole: its answers' time and its silence.
     private double answerUs = LEAST_TIME_OUT_US / 4.0;
     private double answerDevUs = LEAST_TIME_OUT_US / 4.0;
-    private long lastAnswerUs = Long.MIN_VALUE / 2;
+    private long lastAnswerUs = NEVER;
     private double pace = Double.MAX_VALUE;     // calls a second that the counter is asked for at most
     private double knownGoodPace = Double.MAX_VALUE;
     private double allowance = 1;               // calls that may be made now
@@ -84,9 +86,7 @@
         this.startedUs = host.nowUs();
         this.rows = settings.methods().stream().map(Row::new).toArray(Row[]::new);
         this.queueField = settings.reportFields().indexOf("depth");
-        if (settings.mustAskForList()) {
-            host.followList();
-        }
+        if (settings.mustAskForList()) host.followList();
         at(startedUs + SWEEP_US, this::sweep);
         arm();
     }
@@ -94,9 +94,10 @@
     // ---- What the front door tells ----
 
     /** A client's RPC has come in; exactly one final answer is owed from here on. */
-    public Rpc take(long id, int method, long customer, int plan, double units, int firstGateway, int gateways,
-                    long leftUs) {
-        Rpc rpc = new Rpc(id, rows[method], customerOf(customer, plan, gateways), units, leftUs);
+    public Rpc take(long id, int method, long customer, int plan, double units, int gateways, long leftUs) {
+        Customer c = customers.computeIfAbsent(customer,
+                k -> new Customer(k, settings.plans().get(plan), gateways));
+        Rpc rpc = new Rpc(id, rows[method], c, units, leftUs);
         at(rpc.giveUpAtUs, () -> outOfTime(rpc));
         advance(rpc);
         arm();
@@ -108,9 +109,7 @@
             return; // an earlier wake-up has done this one's work
         }
         wakeAtUs = Long.MAX_VALUE;
-        while (!timers.isEmpty() && timers.peek().atUs <= now()) {
-            timers.poll().what.run();
-        }
+        while (!timers.isEmpty() && timers.peek().atUs <= now()) timers.poll().what.run();
         pump();
         arm();
     }
@@ -118,13 +117,10 @@
     public void counted(long name, Outcome outcome, double total, long tookUs) {
         Customer customer = customers.get(name & ((1L << CUSTOMER_BITS) - 1));
         Count count = customer == null ? null : customer.nextOf(name);
-        if (count == null) {
-            return;
-        }
+        if (count == null) return;
         if (outcome == Outcome.OK) {
-            if (now() - lastAnswerUs > OUTAGE_US) {
-                customers.values().forEach(Customer::forgetRefilled);
-            }
+            count.settled = true;
+            if (now() - lastAnswerUs > OUTAGE_US) customers.values().forEach(Customer::forgetRefilled);
             lastAnswerUs = now();
             answersInWindow++;
             answerDevUs += (Math.abs(tookUs - answerUs) - answerDevUs) / 4;
@@ -132,10 +128,8 @@
             customer.answered(count, total);
         } else {
             turnedAwayInWindow++;
-            if (!count.silent) {
-                silence(count);
-            }
-            // A line turned away was not added, nor was one that an outage swallowed; a busy counter adds late.
+            silence(count);
+            // A call turned away was not added, nor was one that an outage took; a busy counter adds late.
             boolean added = outcome == Outcome.TIMED_OUT && lastAnswerUs >= count.sentUs;
             customer.owed += added ? 0 : count.amount;
             customer.owed -= count.rpc != null && !count.rpc.admitted ? count.rpc.units : 0;
@@ -150,9 +144,7 @@
             arm();
             return;
         }
-        if (form != Listed.Form.CHANGES) {
-            backends.values().forEach(b -> b.ready = false);
-        }
+        if (form != Listed.Form.CHANGES) backends.values().forEach(b -> b.ready = false);
         for (Listed entry : entries) {
             Backend backend = backends.computeIfAbsent(entry.backend(), id -> new Backend(entry));
             if (backend.startedUs != entry.startedAtUs()) {
@@ -166,17 +158,6 @@
         arm();
     }
 
-    public void probed(long backend, Outcome outcome, long tookUs, float[] report) {
-        Backend b = backends.get(backend);
-        if (b != null && outcome == Outcome.OK) {
-            b.reported(report);
-        }
-    }
-
-    public void heard(int from, byte[] payload) {
-        // Gateways learn of each other by the counter alone.
-    }
-
     // ---- The ordinary path ----
 
     private void advance(Rpc rpc) {
@@ -194,7 +175,7 @@
                 finish(rpc, customer.returnIn(Math.max(waitUs, 0), rpc.units));
                 return;
             }
-            // 2. Ask: one call on the customer's count, which adds the units; the answer comes to customer.answered().
+            // 2. Ask: one call on the customer's count adds the units; its answer comes to answered().
             if (plan.rate() <= 0) {
                 rpc.stage = Stage.LINE;
             } else if (customer.awaitsVerdict(rpc)) {
@@ -228,9 +209,7 @@
                 continue;
             }
             Backend backend = pick(rpc);
-            if (backend == null && !rpc.isBound()) {
-                break;
-            }
+            if (backend == null && !rpc.isBound()) break;
             line.poll();
             if (backend != null) {
                 send(rpc, backend);
@@ -239,21 +218,15 @@
                 bound.add(rpc);
             }
         }
-        if (bound != null) {
-            line.addAll(bound);
-        }
+        if (bound != null) line.addAll(bound);
     }
 
     private Backend pick(Rpc rpc) {
         Backend best = null;
         double bestScore = Double.MAX_VALUE;
-        boolean untriedOnly = rpc.callOuts.size() > 0 && backends.values().stream().anyMatch(
-                b -> !rpc.tried(b) && rpc.mayGoTo(b) && b.usable());
         for (Backend b : backends.values()) {
-            if (!rpc.mayGoTo(b) || untriedOnly && rpc.tried(b) || rpc.isOutAt(b) || !b.hasPlace(rpc.row)) {
-                continue;
-            }
-            double score = b.score() * (1 + 0.02 * random.nextDouble());
+            if (!rpc.mayGoTo(b) || rpc.isOutAt(b) || !b.hasPlace(rpc.row)) continue;
+            double score = b.score() * (1 + 0.02 * random.nextDouble()) * (rpc.tried(b) ? 1000 : 1);
             if (score < bestScore) {
                 bestScore = score;
                 best = b;
@@ -263,7 +236,10 @@
     }
 
     private void send(Rpc rpc, Backend backend) {
-        CallOut callOut = new CallOut(backend, now(), rpc.callOuts.size());
+        CallOut callOut = new CallOut();
+        callOut.backend = backend;
+        callOut.sentUs = now();
+        callOut.number = rpc.callOuts.size();
         if (rpc.callOuts.isEmpty()) {
             repeats = Math.min(MOST_REPEATS, repeats + REPEATS_PER_RPC);
             rpc.customer.open++;
@@ -280,19 +256,14 @@
 
     /** Guards against what shows only as time (a hang, a vanished machine, a long pause, a crawl). */
     private void overdue(Rpc rpc, CallOut callOut) {
-        if (!callOut.out) {
-            return;
-        }
+        if (!callOut.out) return;
         Backend backend = callOut.backend;
         boolean mute = backend.lastAnswerUs < callOut.sentUs;
-        if (mute && ++backend.suspicions >= 2) {
-            backend.eject();
-        }
-        if (!rpc.done && (mute || backend.slowness > 2 || !backend.usable()) && rpc.outCount() == 1) {
+        if (mute && ++backend.suspicions >= 2) backend.eject();
+        if (!rpc.isDone() && (mute || backend.slowness > 2 || !backend.usable()) && rpc.outCount() == 1) {
             if (settings.secondCopies()) {
                 sendFurther(rpc, true);
             } else if (settings.mayCancel() && rpc.mayRepeat() && !rpc.callOutsSpent() && repeats >= 1) {
-                callOut.movedOn = true;
                 host.cancelCallOut(rpc.id, callOut.number);
             }
         }
@@ -300,23 +271,19 @@
 
     /** Puts an RPC in line again, if its method, its call-outs, its time and the budget allow one more. */
     private boolean sendFurther(Rpc rpc, boolean mayHaveRun) {
-        if (rpc.callOutsSpent() || !rpc.mayRepeat() || rpc.softDlUs <= now() && rpc.row.method.lateUtility() <= 0
-                || mayHaveRun && repeats < 1) {
+        if (rpc.callOutsSpent() || !rpc.mayRepeat()
+                || rpc.softDlUs <= now() && rpc.row.method.lateUtility() <= 0 || mayHaveRun && repeats < 1) {
             return false;
         }
-        if (mayHaveRun) {
-            repeats -= 1;
-        }
+        if (mayHaveRun) repeats -= 1;
         line.add(rpc);
         return true;
     }
 
     private void outOfTime(Rpc rpc) {
-        if (!rpc.done && !rpc.streaming) {
+        if (!rpc.isDone() && !rpc.streaming) {
             for (CallOut callOut : rpc.callOuts) {
-                if (callOut.out) {
-                    callOut.backend.tookTooLong(rpc.row, now() - callOut.sentUs);
-                }
+                if (callOut.out) callOut.backend.tookTooLong(rpc.row, now() - callOut.sentUs);
             }
             finish(rpc, 0);
         }
@@ -326,9 +293,6 @@
     private void finish(Rpc rpc, long waitUs) {
         boolean harmless = rpc.isHarmless();
         rpc.close();
-        if (settings.mayCancel()) {
-            rpc.callOuts.stream().filter(c -> c.out).forEach(c -> host.cancelCallOut(rpc.id, c.number));
-        }
         if (harmless) {
             host.pushBack(rpc.id, settings.retryAfter() ? Math.min(waitUs, settings.mostRetryAfterUs()) : 0);
         } else {
@@ -338,10 +302,6 @@
 
     // ---- The counter ----
 
-    private long epochOf(long customer) {
-        return (now() + stagger(customer)) / EPOCH_US;
-    }
-
     private static long stagger(long customer) {
         return Long.remainderUnsigned(customer * 0x9E3779B97F4A7C15L, EPOCH_US);
     }
@@ -352,32 +312,24 @@
     }
 
     /**
-     * Guards a counter that is crowded, slow, refusing or dead, whatever the cause: calls that are turned away or
+     * Guards a counter that is crowded, slow, refusing or dead, whatever the cause: calls turned away or
      * never answered lower the pace to what was answered, in the manner of TCP; a dead one is tried now and then.
-     * An RPC above the pace is decided by the leaky bucket, and its units ride on the customer's next call.
+     * An RPC above the pace is decided by the leaky bucket; its units ride on the customer's next call.
      */
     private boolean counterMayBeAsked() {
-        if (!settings.mayCount()) {
-            return false;
-        }
+        if (!settings.mayCount()) return false;
         adaptPace();
-        if (pace == Double.MAX_VALUE) {
-            return true;
-        }
+        if (pace == Double.MAX_VALUE) return true;
         allowance = Math.min(Math.max(1, pace / 20), allowance + pace * (now() - allowanceAtUs) / 1e6);
         allowanceAtUs = now();
-        if (allowance < 1) {
-            return false;
-        }
+        if (allowance < 1) return false;
         allowance -= 1;
         return true;
     }
 
     private void adaptPace() {
         double windowS = (now() - paceWindowUs) / 1e6;
-        if (now() - paceWindowUs < PACE_WINDOW_US) {
-            return;
-        }
+        if (now() - paceWindowUs < PACE_WINDOW_US) return;
         double answered = answersInWindow / windowS;
         if (turnedAwayInWindow > 0.02 * callsInWindow && turnedAwayInWindow > 1 || answersInWindow == 0
                 && turnedAwayInWindow > 0) {
@@ -397,20 +349,10 @@
     }
 
     private void silence(Count count) {
-        count.silent = true;
-        if (count.rpc != null && count.rpc.stage == Stage.COUNTING && !count.rpc.done) {
-            count.customer.decideLocally(count.rpc);
-        }
-        while (!count.customer.waiting.isEmpty()) {
-            Rpc next = count.customer.waiting.poll();
-            if (!next.done) {
-                count.customer.decideLocally(next);
-            }
-        }
-    }
-
-    private Customer customerOf(long key, int plan, int gateways) {
-        return customers.computeIfAbsent(key, k -> new Customer(k, settings.plans().get(plan), gateways));
+        if (count.settled) return;
+        count.settled = true;
+        if (count.rpc != null && count.rpc.stage == Stage.COUNTING) count.customer.decideLocally(count.rpc);
+        while (!count.customer.waiting.isEmpty()) count.customer.decideLocally(count.customer.waiting.poll());
     }
 
     private void sweep() {
@@ -418,21 +360,21 @@
         at(now() + SWEEP_US, this::sweep);
     }
 
-    /** One customer (quota key): what this gateway knows of its count, and its leaky bucket for silent times. */
+    /** One customer (quota key): what is known of its count, and its leaky bucket for silent times. */
     private final class Customer {
         final long key;
         final Plan plan;
         final int gateways;
         final Deque<Count> pending = new ArrayDeque<>(2);  // emptied by answers; each call gets one
-        final Deque<Rpc> waiting = new ArrayDeque<>(1);    // emptied when a call of pending is answered or silent
+        final Deque<Rpc> waiting = new ArrayDeque<>(1);    // emptied when a pending call is settled
         double credit = -1;         // as last read, less what was let in since
-        long creditAtUs = Long.MIN_VALUE;
-        long beyondUntilUs = Long.MIN_VALUE / 2;
+        long creditAtUs = NEVER;
+        long beyondUntilUs = NEVER;
         double owed;                // let in, but not in the count yet
         double bucket = -1;         // the split leaky bucket; below 0: none
         long bucketAtUs;
         long lastUsedUs;
-        long nextReturnUs = Long.MIN_VALUE / 2;
+        long nextReturnUs = NEVER;
         int open;
 
         Customer(long key, Plan plan, int gateways) {
@@ -442,12 +384,12 @@
         }
 
         boolean isIdle() {
-            return pending.isEmpty() && open == 0
-                    && now() - lastUsedUs > 1e6 * Math.max(5, plan.rate() > 0 ? 2 * plan.burst() / plan.rate() : 0);
+            double fullUs = plan.rate() > 0 ? plan.burst() / plan.rate() * 1e6 : 0;
+            return pending.isEmpty() && open == 0 && now() - lastUsedUs > Math.max(LEAST_KEPT_US, 2 * fullUs);
         }
 
         boolean openIsFull() {
-            return plan.openLimit() > 0 && open >= Math.max(1, Math.ceil((double) plan.openLimit() / gateways));
+            return plan.openLimit() > 0 && open >= Math.ceil((double) plan.openLimit() / gateways);
         }
 
         double creditNow() {
@@ -455,17 +397,13 @@
         }
 
         /**
-         * Guards the counter against a customer that comes all at once (many tries beyond its quota, clients that
+         * Guards the counter against a customer that comes all at once (tries beyond its quota, clients that
          * return together): no more calls are out than the credit known could let in, and one.
          */
         boolean awaitsVerdict(Rpc rpc) {
-            if (!isRemembered()) {
-                return false;
-            }
+            if (creditAtUs == NEVER) return false;
             double asked = 0;
-            for (Count count : pending) {
-                asked += count.rpc != null && !count.silent ? count.rpc.units : 0;
-            }
+            for (Count count : pending) asked += count.rpc != null && !count.settled ? count.rpc.units : 0;
             return asked > 0 && asked + rpc.units > creditNow();
         }
 
@@ -473,35 +411,31 @@
         long returnIn(long waitUs, double units) {
             long soonestUs = Math.max(now() + waitUs, nextReturnUs);
             nextReturnUs = plan.rate() > 0 ? soonestUs + (long) (units / plan.rate() * 1e6) : soonestUs;
-            if (soonestUs > now() + settings.mostRetryAfterUs()) { // more than can be named: spread over what can
+            if (soonestUs > now() + settings.mostRetryAfterUs()) { // cannot be named: spread over what can
                 nextReturnUs = soonestUs;
                 return (long) (settings.mostRetryAfterUs() * (0.5 + 0.5 * random.nextDouble()));
             }
             return soonestUs - now();
         }
 
-        boolean isRemembered() {
-            return creditAtUs != Long.MIN_VALUE;
-        }
-
         double roomAt(long name, double total) {
             long sinceUs = now() + stagger(key) - (name >>> CUSTOMER_BITS) * EPOCH_US;
             return plan.burst() + plan.rate() * sinceUs / 1e6 - total;
         }
 
         void ask(Rpc rpc) {
-            Count count = add(epochOf(key) << CUSTOMER_BITS | key, rpc.units + owed);
+            Count count = add((now() + stagger(key)) / EPOCH_US << CUSTOMER_BITS | key, rpc.units + owed);
             owed = 0;
             count.rpc = rpc;
-            at(now() + timeOutUs(), () -> {
-                if (!count.answered && !count.silent) {
-                    silence(count);
-                }
-            });
+            at(now() + timeOutUs(), () -> silence(count));
         }
 
         Count add(long name, double amount) {
-            Count count = new Count(this, name, amount, now());
+            Count count = new Count();
+            count.customer = this;
+            count.name = name;
+            count.amount = amount;
+            count.sentUs = now();
             pending.add(count);
             callsInWindow++;
             host.addToCount(name, amount, EPOCH_US);
@@ -522,7 +456,6 @@
                 Count count = all.next();
                 if (count.name == name) {
                     all.remove();
-                    count.answered = true;
                     return count;
                 }
             }
@@ -542,7 +475,7 @@
                 return;
             }
             // Room above the burst is added back. The call that made the name (it reads its own amount alone)
-            // puts back what this gateway remembers as spent: after a flush, an empty return, an epoch's turn.
+            // puts back what this gateway remembers as spent: after a flush, an empty return, an epoch turn.
             boolean made = Math.abs(total - count.amount) < 1e-3;
             double before = made ? rememberedCredit() : plan.burst();
             double excess = room + count.amount - before;
@@ -552,7 +485,6 @@
                 trim.excess = excess;
                 trim.roomAfter = room;
             }
-            boolean within = room >= 0;
             bucket = -1;
             if (rpc.stage != Stage.COUNTING) { // answered late, decided by the leaky bucket meanwhile
                 if (!rpc.admitted) {
@@ -560,7 +492,7 @@
                     room += rpc.units;
                 }
                 know(room);
-            } else if (within) {
+            } else if (room >= 0) {
                 know(room);
                 rpc.admit();
                 advance(rpc);
@@ -571,24 +503,17 @@
                 know(room + rpc.units);
                 finish(rpc, returnIn(waitUs, rpc.units));
             }
-            while (!waiting.isEmpty() && (waiting.peek().done || !awaitsVerdict(waiting.peek()))) {
-                Rpc next = waiting.poll();
-                if (!next.done) {
-                    advance(next);
-                }
-            }
+            while (!waiting.isEmpty() && !awaitsVerdict(waiting.peek())) advance(waiting.poll());
         }
 
-        private void know(double room) {
+        void know(double room) {
             credit = room;
             creditAtUs = now();
         }
 
         /** What the store holds by this gateway's memory; a ceiling may not be staked on an unknown past. */
         double rememberedCredit() {
-            if (isRemembered()) {
-                return creditNow();
-            }
+            if (creditAtUs != NEVER) return creditNow();
             double spare = plan.ceilingBurst() - plan.burst() + plan.ceilingSlack();
             return plan.ceilingRate() > 0 ? Math.max(0, Math.min(plan.burst(), spare)) : plan.burst();
         }
@@ -598,12 +523,13 @@
             if (bucket >= 0) {
                 return Math.min(depth, bucket + plan.rate() / gateways * (now() - bucketAtUs) / 1e6);
             }
-            double known = isRemembered() ? creditNow() : Math.min(plan.burst(), plan.rate() * (now() - startedUs) / 1e6);
+            double sinceStart = plan.rate() * (now() - startedUs) / 1e6; // starts with an empty bucket
+            double known = creditAtUs != NEVER ? creditNow() : Math.min(plan.burst(), sinceStart);
             return Math.max(0, Math.min(depth, known / gateways));
         }
 
         /**
-         * After an outage each gateway owes the count only what its leaky bucket still lacks: the rest has been
+         * After an outage each gateway owes the count only what its leaky bucket still lacks: the rest is
          * refilled, and whoever reads the count first trims it to a full burst. All of it would be a debt.
          */
         void forgetRefilled() {
@@ -624,38 +550,29 @@
                 rpc.admit();
                 advance(rpc);
             } else {
-                finish(rpc, returnIn((long) ((rpc.units - bucket) / (plan.rate() / gateways) * 1e6), rpc.units));
+                double waitS = (rpc.units - bucket) / plan.rate() * gateways;
+                finish(rpc, returnIn((long) (waitS * 1e6), rpc.units));
             }
         }
     }
 
     /** One call on the counter. */
     private static final class Count {
-        final Customer customer;
-        final long name;
-        final double amount;
-        final long sentUs;
-        Rpc rpc;
-        double excess;
+        Customer customer;
+        long name;
+        double amount;
+        long sentUs;
+        Rpc rpc;          // that waits for it, if any
+        double excess;    // that it adds back, and the room that should be left then
         double roomAfter;
-        boolean answered;
-        boolean silent;
-
-        Count(Customer customer, long name, double amount, long sentUs) {
-            this.customer = customer;
-            this.name = name;
-            this.amount = amount;
-            this.sentUs = sentUs;
-        }
+        boolean settled;  // answered, or silent past the time-out
     }
 
     // ---- Backends ----
 
     private final class Backend {
+        final Listed listed;
         final long id;
-        final int zone;
-        final int cell;
-        final double weight;
         final long startedUs;
         boolean ready;
         double taken;               // work answered here of late, in cores
@@ -668,28 +585,22 @@
         int errorsInARow;
         int suspicions;
         long lastAnswerUs = now();
-        long ejectedUntilUs = Long.MIN_VALUE;
+        long ejectedUntilUs = NEVER;
         long ejectUs = FIRST_EJECT_US;
         boolean onTrial;
         double queue;
-        long queueAtUs = Long.MIN_VALUE / 2;
+        long queueAtUs = NEVER;
         final Deque<long[]> sentWhileCold = new ArrayDeque<>(); // emptied as its window passes
 
         Backend(Listed entry) {
+            listed = entry;
             id = entry.backend();
-            zone = entry.zone();
-            cell = entry.cell();
-            weight = entry.weight();
             startedUs = entry.startedAtUs();
         }
 
-        boolean usable() {
-            return ready && now() >= ejectedUntilUs;
-        }
+        boolean usable() { return ready && now() >= ejectedUntilUs; }
 
-        boolean hasPlace(Row row) {
-            return usable() && out < (onTrial ? 1 : (int) limit) && coldAllows(row);
-        }
+        boolean hasPlace(Row row) { return usable() && out < (onTrial ? 1 : (int) limit) && coldAllows(row); }
 
         double score() {
             double idleS = (now() - slownessAtUs) / 1e6;
@@ -698,14 +609,15 @@
             return (out + 1 + waiting) * slow / Math.pow(1 - Math.min(0.9, errors), 2);
         }
 
-        /** This gateway's share of what a backend that has just started can take, counted as work in a window. */
+        /** This gateway's share of what a backend just started can take, counted as work in a window. */
         boolean coldAllows(Row row) {
             long ageUs = now() - startedUs;
             if (!isCold()) {
                 sentWhileCold.clear();
                 return true;
             }
-            double part = settings.coldFrom() + (1 - settings.coldFrom()) * Math.max(0, ageUs) / settings.warmAfterUs();
+            double ramp = (double) Math.max(0, ageUs) / settings.warmAfterUs();
+            double part = settings.coldFrom() + (1 - settings.coldFrom()) * ramp;
             double windowUs = settings.coldWindowUs();
             double budgetUs = COLD_MARGIN * settings.coldFactor() * part * windowUs * warmPeersTake()
                     / settings.gateways();
@@ -720,22 +632,20 @@
         }
 
         void sentCold(Row row) {
-            if (isCold()) {
-                sentWhileCold.add(new long[] {now(), (long) row.leastUs});
-            }
+            if (isCold()) sentWhileCold.add(new long[] {now(), (long) row.leastUs});
         }
 
-        /** Cores' worth of work that a warm backend of this size takes, as far as it shows; never under one core. */
+        /** Cores' worth of work that a warm backend of this size is seen to take; never under one core. */
         double warmPeersTake() {
             double taken = 0;
             double size = 0;
             for (Backend b : backends.values()) {
                 if (b.ready && !b.isCold() && now() >= b.ejectedUntilUs) {
                     taken += b.takenNow();
-                    size += settings.weightIsSize() ? b.weight : 1;
+                    size += settings.weightIsSize() ? b.listed.weight() : 1;
                 }
             }
-            double mySize = settings.weightIsSize() ? weight : 1;
+            double mySize = settings.weightIsSize() ? listed.weight() : 1;
             return size <= 0 ? 1 : Math.max(1, taken / size * mySize * settings.gateways());
         }
 
@@ -743,17 +653,13 @@
             return taken * Math.exp((takenAtUs - now()) / TAKEN_OVER_US);
         }
 
-        boolean isCold() {
-            return startedUs != 0 && now() - startedUs < settings.warmAfterUs();
-        }
+        boolean isCold() { return startedUs != 0 && now() - startedUs < settings.warmAfterUs(); }
 
         /** Never ejects all: at least half of the ready ones stay. */
         void eject() {
             long away = backends.values().stream().filter(b -> b.ready && now() < b.ejectedUntilUs).count();
             long ready = backends.values().stream().filter(b -> b.ready).count();
-            if (!usable() || (away + 1) * 2 > ready) {
-                return;
-            }
+            if (!usable() || (away + 1) * 2 > ready) return;
             ejectedUntilUs = now() + ejectUs;
             ejectUs = Math.min(LAST_EJECT_US, ejectUs * 2);
             onTrial = true;
@@ -769,14 +675,9 @@
             taken = takenNow() + row.leastUs / TAKEN_OVER_US;
             takenAtUs = now();
             errors *= 0.85;
-            if (onTrial && tookUs < 3 * row.meanUs) {
-                onTrial = false;
-            }
-            if (!onTrial && errors < 0.05 && slowness < 1.5) {
-                ejectUs = FIRST_EJECT_US;
-            }
-            slowness += 0.12 * (Math.min(8, tookUs / row.meanUs) - slowness);
-            slownessAtUs = now();
+            if (onTrial && tookUs < 3 * row.meanUs) onTrial = false;
+            if (!onTrial && errors < 0.05 && slowness < 1.5) ejectUs = FIRST_EJECT_US;
+            compare(row, tookUs);
             double part = (double) tookUs / row.method.softDeadlineUs();
             if (part > SHRINK_ABOVE) {
                 limit = Math.max(1, limit * 0.9);
@@ -790,21 +691,21 @@
             limit = Math.max(1, limit * 0.9);
             if (soFarUs > row.meanUs) {
                 row.learn(soFarUs);
-                slowness += 0.12 * (Math.min(8, soFarUs / row.meanUs) - slowness);
-                slownessAtUs = now();
+                compare(row, soFarUs);
             }
         }
 
+        void compare(Row row, long tookUs) {
+            slowness += 0.12 * (Math.min(8, tookUs / row.meanUs) - slowness);
+            slownessAtUs = now();
+        }
+
         /** Fast failures look like free places: errors take places away, and many in a row eject. */
         void failing(boolean answered) {
-            if (answered) {
-                lastAnswerUs = now();
-            }
+            if (answered) lastAnswerUs = now();
             errors += 0.15 * (1 - errors);
             limit = Math.max(1, limit * 0.8);
-            if (++errorsInARow >= 3 || errors > 0.5 || onTrial) {
-                eject();
-            }
+            if (++errorsInARow >= 3 || errors > 0.5 || onTrial) eject();
         }
 
         void reported(float[] report) {
@@ -833,8 +734,8 @@
         }
 
         /**
-         * How long the client has been asking. First tries all have the same time left, the most common one; a try
-         * with another has what remains of the client's whole time. Misra and Gries' count finds the common one.
+         * How long the client has been asking. First tries have the same time left, the most common one; a
+         * try with another has what remains of the client's whole time. Misra and Gries' count finds the common.
          */
         long ageUs(long leftUs) {
             int common = 0;
@@ -852,9 +753,7 @@
             if (mine >= 0) {
                 leftCount[mine]++;
             } else {
-                for (int i = 0; i < leftSeen.length; i++) {
-                    leftCount[i]--;
-                }
+                for (int i = 0; i < leftSeen.length; i++) leftCount[i]--;
             }
             boolean first = mine >= 0 && leftCount[mine] >= leftCount[common];
             return first ? 0 : Math.max(0, method.deadlineUs() - leftUs);
@@ -868,9 +767,7 @@
             leastUs = Math.min(leastUs * 1.0002, meanUs);
         }
 
-        long usualUs() {
-            return (long) Math.min(meanUs + 3 * devUs, method.softDeadlineUs() * 0.7);
-        }
+        long usualUs() { return (long) Math.min(meanUs + 3 * devUs, method.softDeadlineUs() * 0.7); }
 
         long patienceUs() {
             return (long) Math.max(2 * meanUs, Math.min(meanUs + 4 * devUs, method.softDeadlineUs() / 2.0));
@@ -878,18 +775,11 @@
     }
 
     private static final class CallOut {
-        final Backend backend;
-        final long sentUs;
-        final int number;
+        Backend backend;
+        long sentUs;
+        int number;
         boolean out = true;
         boolean neverRan;
-        boolean movedOn;
-
-        CallOut(Backend backend, long sentUs, int number) {
-            this.backend = backend;
-            this.sentUs = sentUs;
-            this.number = number;
-        }
     }
 
     private enum Stage { NEW, COUNTING, LINE, OUT, DONE }
@@ -908,7 +798,6 @@
         private Stage stage = Stage.NEW;
         private boolean admitted;
         private boolean streaming;
-        private boolean done;
 
         private Rpc(long id, Row row, Customer customer, double units, long leftUs) {
             this.id = id;
@@ -923,18 +812,16 @@
         }
 
         /** A call-out has ended; over tells that the client has its answer, by this or earlier. */
-        public void callOutEnded(int number, Outcome outcome, long tookUs, boolean over, int settled, float[] report) {
-            if (number >= callOuts.size() || !callOuts.get(number).out) {
-                return;
-            }
+        public void callOutEnded(int number, Outcome outcome, long tookUs, boolean over, int settled,
+                                 float[] report) {
+            if (number >= callOuts.size() || !callOuts.get(number).out) return;
             CallOut callOut = callOuts.get(number);
             Backend backend = callOut.backend;
             callOut.out = false;
-            callOut.neverRan = outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED || outcome == Outcome.MOOT;
+            callOut.neverRan = outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED
+                    || outcome == Outcome.MOOT;
             backend.out--;
-            if (report.length > 0) {
-                backend.reported(report);
-            }
+            if (report.length > 0) backend.reported(report);
             switch (outcome) {
                 case OK -> {
                     row.learn(tookUs);
@@ -947,12 +834,9 @@
             if (settled > 0 && settings.settles() && admitted && settled != units) {
                 customer.owed += settled - units;
             }
-            if (!done && over) {
+            if (!isDone() && over) {
                 close();
-                if (settings.mayCancel()) {
-                    callOuts.stream().filter(c -> c.out).forEach(c -> host.cancelCallOut(id, c.number));
-                }
-            } else if (!done && outCount() == 0 && !line.contains(this)
+            } else if (!isDone() && outCount() == 0 && !line.contains(this)
                     && (outcome == Outcome.MOOT || !sendFurther(this, !callOut.neverRan))) {
                 finish(this, 0);
             }
@@ -960,25 +844,20 @@
             arm();
         }
 
-        public void streamStarted(int number) {
-            streaming = true;
-        }
+        public void streamStarted(int number) { streaming = true; }
 
         public void clientLeft() {
-            if (!done) {
+            if (!isDone()) {
                 close();
-                if (settings.mayCancel()) {
-                    callOuts.stream().filter(c -> c.out).forEach(c -> host.cancelCallOut(id, c.number));
-                }
                 pump();
                 arm();
             }
         }
 
         /** True once nothing more will come of this RPC. */
-        public boolean over() {
-            return done && outCount() == 0;
-        }
+        public boolean over() { return isDone() && outCount() == 0; }
+
+        private boolean isDone() { return stage == Stage.DONE; }
 
         private void admit() {
             admitted = true;
@@ -987,70 +866,60 @@
 
         /** The RPC has its final answer; units that it took and never used go back. */
         private void close() {
-            done = true;
-            if (stage == Stage.LINE || stage == Stage.OUT) {
-                line.remove(this);
-            }
+            if (stage == Stage.LINE || stage == Stage.OUT) line.remove(this);
+            customer.waiting.remove(this);
             if (callOuts.isEmpty() && admitted) {
                 customer.owed -= units;
             } else if (!callOuts.isEmpty()) {
                 customer.open--;
             }
             stage = Stage.DONE;
+            for (CallOut c : callOuts) {
+                if (c.out && settings.mayCancel()) host.cancelCallOut(id, c.number);
+            }
         }
 
         private int outCount() {
             int count = 0;
-            for (CallOut c : callOuts) {
-                count += c.out ? 1 : 0;
-            }
+            for (CallOut c : callOuts) count += c.out ? 1 : 0;
             return count;
         }
 
-        private boolean callOutsSpent() {
-            return callOuts.size() >= settings.mostCallOuts();
-        }
+        private boolean callOutsSpent() { return callOuts.size() >= settings.mostCallOuts(); }
 
         private CallOut firstThatMayHaveRun() {
             return callOuts.stream().filter(c -> !c.neverRan).findFirst().orElse(null);
         }
 
-        private boolean isTooLate() {
-            return row.method.lateUtility() <= 0 && now() > startByUs;
-        }
+        private boolean isTooLate() { return row.method.lateUtility() <= 0 && now() > startByUs; }
 
         /** A pushback tells the client that a repeat is harmless: so only where it is. */
         private boolean isHarmless() {
-            return firstThatMayHaveRun() == null || row.method.repeat() == Method.Repeat.IDEMPOTENT
-                    || row.method.repeat() == Method.Repeat.DEDUPLICATED && row.method.group() == Method.Group.ALL;
+            Method m = row.method;
+            return firstThatMayHaveRun() == null || m.repeat() == Method.Repeat.IDEMPOTENT
+                    || m.repeat() == Method.Repeat.DEDUPLICATED && m.group() == Method.Group.ALL;
         }
 
         private boolean mayRepeat() {
             return firstThatMayHaveRun() == null || row.method.repeat() != Method.Repeat.NON_IDEMPOTENT;
         }
 
-        /** Bound to some backends: a deduplicated RPC that may have run stays in the group that knows its mark. */
-        private boolean isBound() {
-            return !callOuts.isEmpty();
-        }
+        /** One that was sent before may be bound to some backends; the line goes on without it. */
+        private boolean isBound() { return !callOuts.isEmpty(); }
 
         private boolean mayGoTo(Backend b) {
             CallOut first = firstThatMayHaveRun();
-            if (first == null || row.method.repeat() == Method.Repeat.IDEMPOTENT) {
-                return true;
-            }
+            if (first == null || row.method.repeat() == Method.Repeat.IDEMPOTENT) return true;
             return row.method.repeat() == Method.Repeat.DEDUPLICATED
                     && now() < first.sentUs + row.method.windowUs() - 2 * settings.tickUs()
                     && switch (row.method.group()) {
                         case ALL -> true;
-                        case ZONE -> b.zone == first.backend.zone;
-                        case CELL -> b.zone == first.backend.zone && b.cell == first.backend.cell;
+                        case ZONE -> b.listed.zone() == first.backend.listed.zone();
+                        case CELL -> b.listed.cell() == first.backend.listed.cell();
                     };
         }
 
-        private boolean tried(Backend b) {
-            return callOuts.stream().anyMatch(c -> c.backend.id == b.id);
-        }
+        private boolean tried(Backend b) { return callOuts.stream().anyMatch(c -> c.backend.id == b.id); }
 
         private boolean isOutAt(Backend b) {
             return callOuts.stream().anyMatch(c -> c.out && c.backend.id == b.id);
@@ -1062,13 +931,9 @@
     private record Timer(long atUs, long order, Runnable what) {
     }
 
-    private long now() {
-        return host.nowUs();
-    }
+    private long now() { return host.nowUs(); }
 
-    private void at(long atUs, Runnable what) {
-        timers.add(new Timer(atUs, orders++, what));
-    }
+    private void at(long atUs, Runnable what) { timers.add(new Timer(atUs, orders++, what)); }
 
     /** One wake-up is asked of the front door at a time: that of the earliest timer. */
     private void arm() {
