Let places fall below one a backend, and grow by a tenth

Together the places bound what a gateway has out. Should cover any fleet with many gateways and any slow or thrashing backend; could harm by growing too slowly after a restart.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -38,7 +38,9 @@
     private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
     // The line and the places.
     private static final double FIRST_PLACES = 2;
+    private static final double LEAST_PLACES = 0.1;    // where gateways are many, each has a place at a few
     private static final double MOST_PLACES = 64;
+    private static final double GROW_BY = 0.1;
     private static final double GROW_BELOW = 0.35;     // of the soft deadline: a place more is harmless
     private static final double SHRINK_ABOVE = 0.6;    // of the soft deadline: places are too many
     // Health.
@@ -208,8 +210,8 @@
                 finish(rpc, 0); // it cannot meet its soft deadline any more: back while that is harmless
                 continue;
             }
-            Backend backend = pick(rpc);
-            if (backend == null && !rpc.isBound()) break;
+            Backend backend = allPlacesTaken() ? null : pick(rpc);
+            if (backend == null && (!rpc.isBound() || allPlacesTaken())) break;
             line.poll();
             if (backend != null) {
                 send(rpc, backend);
@@ -221,6 +223,17 @@
         if (bound != null) line.addAll(bound);
     }
 
+    /** Places may be less than one a backend: together they bound what this gateway has out. */
+    private boolean allPlacesTaken() {
+        double places = 0;
+        int out = 0;
+        for (Backend b : backends.values()) {
+            places += b.usable() ? b.limit : 0;
+            out += b.usable() ? b.out : 0;
+        }
+        return out >= Math.max(1, places);
+    }
+
     private Backend pick(Rpc rpc) {
         Backend best = null;
         double bestScore = Double.MAX_VALUE;
@@ -313,7 +326,7 @@
 
     /**
      * Guards a counter that is crowded, slow, refusing or dead, whatever the cause: calls turned away or
-     * never answered lower the pace to what was answered, in the manner of TCP; a dead one is tried now and then.
+     * never answered lower the pace to what was answered, as TCP does; a dead one is tried now and then.
      * An RPC above the pace is decided by the leaky bucket; its units ride on the customer's next call.
      */
     private boolean counterMayBeAsked() {
@@ -600,7 +613,7 @@
 
         boolean usable() { return ready && now() >= ejectedUntilUs; }
 
-        boolean hasPlace(Row row) { return usable() && out < (onTrial ? 1 : (int) limit) && coldAllows(row); }
+        boolean hasPlace(Row row) { return usable() && out < (onTrial ? 1 : Math.max(1, (int) limit)) && coldAllows(row); }
 
         double score() {
             double idleS = (now() - slownessAtUs) / 1e6;
@@ -680,15 +693,15 @@
             compare(row, tookUs);
             double part = (double) tookUs / row.method.softDeadlineUs();
             if (part > SHRINK_ABOVE) {
-                limit = Math.max(1, limit * 0.9);
-            } else if (part < GROW_BELOW && out + 1 >= (int) limit) {
-                limit = Math.min(MOST_PLACES, limit + 1 / limit);
+                limit = Math.max(LEAST_PLACES, limit * 0.9);
+            } else if (part < GROW_BELOW && (out + 1 >= (int) limit && limit >= 1 || allPlacesTaken())) {
+                limit = Math.min(MOST_PLACES, limit + GROW_BY / Math.max(1, limit));
             }
         }
 
         /** An answer that nobody could wait for says as much as a late one: places are too many. */
         void tookTooLong(Row row, long soFarUs) {
-            limit = Math.max(1, limit * 0.9);
+            limit = Math.max(LEAST_PLACES, limit * 0.9);
             if (soFarUs > row.meanUs) {
                 row.learn(soFarUs);
                 compare(row, soFarUs);
@@ -704,7 +717,7 @@
         void failing(boolean answered) {
             if (answered) lastAnswerUs = now();
             errors += 0.15 * (1 - errors);
-            limit = Math.max(1, limit * 0.8);
+            limit = Math.max(LEAST_PLACES, limit * 0.8);
             if (++errorsInARow >= 3 || errors > 0.5 || onTrial) eject();
         }
 
@@ -735,7 +748,7 @@
 
         /**
          * How long the client has been asking. First tries have the same time left, the most common one; a
-         * try with another has what remains of the client's whole time. Misra and Gries' count finds the common.
+         * try with another has what remains of its client's whole time. Misra and Gries' count finds it.
          */
         long ageUs(long leftUs) {
             int common = 0;
