--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -41,8 +41,8 @@
     private static final double LEAST_PLACES = 0.1;    // where gateways are many, each has a place at a few
     private static final double MOST_PLACES = 64;
     private static final double GROW_BY = 0.1;
-    private static final double GROW_BELOW = 0.35;     // of the soft deadline: a place more is harmless
-    private static final double SHRINK_ABOVE = 0.6;    // of the soft deadline: places are too many
+    private static final double GROW_BELOW = 0.25;     // of the soft deadline: a place more is harmless
+    private static final double SHRINK_ABOVE = 0.5;    // of the soft deadline: places are too many
     // Health.
     private static final long FIRST_EJECT_US = 1_000_000;
     private static final long LAST_EJECT_US = 8_000_000;
@@ -613,7 +613,9 @@
 
         boolean usable() { return ready && now() >= ejectedUntilUs; }
 
-        boolean hasPlace(Row row) { return usable() && out < (onTrial ? 1 : Math.max(1, (int) limit)) && coldAllows(row); }
+        boolean hasPlace(Row row) {
+            return usable() && out < (onTrial ? 1 : Math.max(1, (int) limit)) && coldAllows(row);
+        }
 
         double score() {
             double idleS = (now() - slownessAtUs) / 1e6;
