--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -61,7 +61,7 @@
     private final Map<Long, Backend> backends = new LinkedHashMap<>();   // emptied by list news
     private final Map<Long, Customer> customers = new LinkedHashMap<>(); // emptied by sweep() when idle
     private final PriorityQueue<Rpc> line = new PriorityQueue<>(         // emptied by pump() and finish()
-            Comparator.comparingLong((Rpc r) -> r.callOuts.isEmpty() ? -r.order : Long.MIN_VALUE));
+            Comparator.comparingLong((Rpc r) -> r.startByUs).thenComparingLong(r -> r.order));
     private final PriorityQueue<Timer> timers = new PriorityQueue<>(     // emptied as they come due
             Comparator.comparingLong(Timer::atUs).thenComparingLong(Timer::order));
     private final int queueField;
@@ -200,7 +200,7 @@
         // 4. What comes back is a call on the handle: Rpc.callOutEnded().
     }
 
-    /** Gives free places to the line, the newest RPC first: where not all can be in time, those that are served are. */
+    /** Gives free places to the line, the RPC that must start soonest first. */
     private void pump() {
         List<Rpc> bound = null;
         while (!line.isEmpty()) {
