--- /dev/null
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -0,0 +1,177 @@
+package hopdrum.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import hopdrum.host.Outcome;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class FailureStoryTest {
+    private final FakeHost door = new FakeHost();
+
+    private Policy.Rpc served(long tookUs) {
+        Policy.Rpc rpc = door.takeInQuota();
+        door.end(rpc, 0, Outcome.OK, tookUs);
+        return rpc;
+    }
+
+    @Test
+    void aBackendThatTakesWorkAndNeverAnswersIsLeftAloneAndItsWorkTriedElsewhere() {
+        door.start(3);
+        for (int i = 0; i < 30; i++) {
+            served(50_000);
+        }
+        door.pass(10_000);
+        door.asked.clear();
+        List<Policy.Rpc> stuck = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            stuck.add(door.takeInQuota());
+        }
+        String hung = door.heard("call-out").get(0).replaceAll(".* to ", " to ");
+        for (Policy.Rpc rpc : stuck) {
+            if (!door.heard("call-out").get(stuck.indexOf(rpc)).endsWith(hung)) {
+                door.end(rpc, 0, Outcome.OK, 50_000);
+            }
+        }
+        door.pass(500_000);
+        assertThat(door.heard("call-out")).as("second copies for what hangs").hasSizeGreaterThan(6);
+        door.asked.clear();
+        for (int i = 0; i < 6; i++) {
+            served(50_000);
+        }
+        assertThat(door.heard("call-out")).hasSize(6).noneMatch(a -> a.endsWith(hung));
+    }
+
+    @Test
+    void fastFailuresTakePlacesAwayAndTheRpcIsTriedElsewhere() {
+        door.start(3);
+        for (int i = 0; i < 12; i++) {
+            Policy.Rpc rpc = door.takeInQuota();
+            int last = door.heard("call-out " + (i + 1) + " ").size() - 1;
+            if (door.heard("call-out " + (i + 1) + " ").get(last).endsWith("to 1")) {
+                door.end(rpc, last, Outcome.ERROR, 1_000);
+                last++;
+            }
+            door.end(rpc, last, Outcome.OK, 100_000);
+        }
+        assertThat(door.heard("call-out").stream().filter(a -> a.endsWith("to 1")).count()).isLessThanOrEqualTo(4);
+        assertThat(door.heard("push back")).isEmpty();
+    }
+
+    @Test
+    void notAllBackendsAreEverEjected() {
+        door.start(2);
+        for (int i = 0; i < 20; i++) {
+            Policy.Rpc rpc = door.takeInQuota();
+            for (int c = 0; c < 3; c++) {
+                door.end(rpc, c, Outcome.ERROR, 1_000);
+            }
+            door.pass(100_000);
+        }
+        door.asked.clear();
+        door.takeInQuota();
+        assertThat(door.heard("call-out")).hasSize(1);
+    }
+
+    @Test
+    void workThatCannotMeetItsSoftDeadlineGoesBackEarlyAndItsUnitsToo() {
+        door.start(1);
+        for (int i = 0; i < 8; i++) {
+            door.takeInQuota();
+        }
+        door.pass(1_990_000);
+        int pushedBack = door.heard("push back").size();
+        assertThat(pushedBack).isGreaterThan(4);
+        assertThat(door.heard("call-out").size() + pushedBack).isGreaterThanOrEqualTo(8);
+        door.asked.clear();
+        door.takeInQuota();
+        assertThat(door.heard("add").get(0)).as("units of work never sent ride back on the next call")
+                .startsWith("add -");
+    }
+
+    @Test
+    void aClientsRepeatPastItsSoftDeadlineTakesNoUnits() {
+        door.start(3);
+        for (int i = 0; i < 5; i++) {
+            served(50_000);
+        }
+        door.asked.clear();
+        door.policy.take(99, 0, 11, 0, 1, 2, 5_000_000); // 2.5 s of its client's 7.5 s are gone
+        assertThat(door.asked).containsExactly("push back 99 for 0");
+    }
+
+    @Test
+    void clientsPushedBackAreNamedDifferentTimesToReturn() {
+        door.start(3);
+        door.takeCounted(-0.2);
+        door.take();
+        door.take();
+        assertThat(door.heard("push back").stream().map(a -> a.replaceAll(".* for ", "")).distinct()).hasSize(3);
+    }
+
+    @Test
+    void callsBeyondTheCreditKnownAwaitTheVerdictOfThoseThatAreOut() {
+        door.start(3);
+        door.takeCounted(1.5);
+        door.asked.clear();
+        for (int i = 0; i < 5; i++) {
+            door.take();
+        }
+        assertThat(door.heard("add")).as("one call for the credit of 1.5, the rest wait").hasSize(1);
+        door.answer(-0.5);
+        assertThat(door.heard("push back")).hasSize(5);
+    }
+
+    @Test
+    void aCrowdedCounterIsAskedAtThePaceItAnswers() {
+        door.start(3);
+        int calls = 0;
+        for (int i = 0; i < 500; i++) {
+            int before = door.heard("add").size();
+            Policy.Rpc rpc = door.policy.take(1000 + i, 0, 100 + i, 0, 1, 2, 7_500_000);
+            if (door.heard("add").size() > before) {
+                calls++;
+                door.policy.counted(door.lastName(), Outcome.FULL, 0, 300);
+            }
+            door.pass(4_000);
+        }
+        assertThat(calls).as("2 s: a window at full pace, then five trials a second").isBetween(20, 80);
+    }
+
+    @Test
+    void afterAnOutageAGatewayOwesOnlyWhatItsBucketLacks() {
+        door.start(3);
+        door.pass(10_000_000);
+        door.takeCounted(4);
+        for (int i = 0; i < 20; i++) { // ten seconds without an answer, one unit let in each second
+            door.take();
+            door.pass(500_000);
+        }
+        door.answer(4);
+        door.asked.clear();
+        door.take();
+        assertThat(Double.parseDouble(door.heard("add").get(0).substring(4))).isLessThanOrEqualTo(3);
+    }
+
+    @Test
+    void theCallThatMakesANameRestoresWhatThisGatewayRemembers() {
+        door.start(3);
+        door.takeCounted(1);
+        door.asked.clear();
+        door.take();
+        door.policy.counted(door.lastName(), Outcome.OK, 1, 1_000); // emptied: the total is this call's own
+        assertThat(door.heard("call-out")).hasSize(1);
+        double restored = Double.parseDouble(door.heard("add").get(1).substring(4));
+        assertThat(door.totalFor(0) - 1 - restored).as("no fresh burst: nothing is left").isBetween(-0.1, 0.1);
+    }
+
+    @Test
+    void theGatewayWhoseExcessCameSecondTakesItBack() {
+        door.start(3);
+        door.takeCounted(20);
+        double excess = Double.parseDouble(door.heard("add").get(1).substring(4));
+        door.answer(20 - 2 * excess); // another gateway had added the same
+        assertThat(door.heard("add").get(2)).isEqualTo("add " + -excess);
+    }
+}
--- a/src/test/java/hopdrum/policy/FakeHost.java
+++ b/src/test/java/hopdrum/policy/FakeHost.java
@@ -29,6 +29,7 @@
         for (int i = 1; i <= backends; i++) {
             list(i, Listed.State.READY, 0);
         }
+        pass(10_000);
         return this;
     }
 
@@ -41,15 +42,29 @@
         return policy.take(++lastId, 0, 11, 0, 1, 2, 7_500_000);
     }
 
-    /** Takes an RPC and has the counter answer its call with this total. */
-    Policy.Rpc takeCounted(double total) {
+    Policy.Rpc takeInQuota() {
+        return takeCounted(2);
+    }
+
+    /** Takes an RPC and has the counter answer its call with a total that leaves this much room. */
+    Policy.Rpc takeCounted(double room) {
         Policy.Rpc rpc = take();
-        answer(total);
+        answer(room);
         return rpc;
     }
 
-    void answer(double total) {
-        policy.counted(names.get(names.size() - 1), Outcome.OK, total, 1_000);
+    void answer(double room) {
+        policy.counted(lastName(), Outcome.OK, totalFor(room), 1_000);
+    }
+
+    long lastName() {
+        return names.get(names.size() - 1);
+    }
+
+    double totalFor(double room) {
+        long epochUs = (lastName() >>> 33) * 60_000_000;
+        long sinceUs = clockUs + Long.remainderUnsigned(11 * 0x9E3779B97F4A7C15L, 60_000_000) - epochUs;
+        return plan.burst() + plan.rate() * sinceUs / 1e6 - room;
     }
 
     void end(Policy.Rpc rpc, int callOut, Outcome outcome, long tookUs) {
--- a/src/test/java/hopdrum/policy/QuotaStoryTest.java
+++ b/src/test/java/hopdrum/policy/QuotaStoryTest.java
@@ -12,13 +12,13 @@
     void anRpcWithinQuotaIsCountedThenSentOn() {
         door.take();
         assertThat(door.asked).containsExactly("add 1.0");
-        door.answer(50);
+        door.answer(2);
         assertThat(door.heard("call-out 1 ")).hasSize(1);
     }
 
     @Test
     void anRpcBeyondQuotaGivesItsUnitsBackAndIsPushedBackWithATimeToReturn() {
-        door.takeCounted(1e6);
+        door.takeCounted(-5);
         assertThat(door.asked).startsWith("add 1.0", "add -1.0").last().asString().startsWith("push back 1 for ");
         assertThat(door.heard("push back").get(0)).doesNotEndWith(" for 0");
         door.asked.clear();
@@ -47,7 +47,7 @@
         door.asked.clear();
         long name = door.names.get(0);
         for (int i = 1; i <= 3; i++) {
-            door.policy.counted(name, Outcome.OK, 1e3 + i, 30_000);
+            door.policy.counted(name, Outcome.OK, door.totalFor(-i), 30_000);
         }
         assertThat(door.heard("add -1.0")).as("only what was not let in goes back").isNotEmpty();
         assertThat(door.names).containsOnly(name);
--- /dev/null
+++ b/src/test/java/hopdrum/policy/RulesStoryTest.java
@@ -0,0 +1,133 @@
+package hopdrum.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import hopdrum.host.Listed;
+import hopdrum.host.Method;
+import hopdrum.host.Outcome;
+import hopdrum.host.Plan;
+import org.junit.jupiter.api.Test;
+
+class RulesStoryTest {
+    private final FakeHost door = new FakeHost();
+
+    private void method(Method.Repeat repeat, Method.Group group) {
+        door.method = new Method(2_000_000, 7_500_000, repeat, group, 1_000_000, 0, false);
+    }
+
+    @Test
+    void anRpcThatNobodyAnswersIsGivenUpBeforeItsDeadlineAndOnlyOnce() {
+        door.start(1);
+        Policy.Rpc rpc = door.takeInQuota();
+        door.pass(7_490_000);
+        assertThat(door.heard("push back 1")).hasSize(1);
+        door.end(rpc, 0, Outcome.CANCELLED, 2_000_000);
+        assertThat(door.heard("push back 1")).hasSize(1);
+        assertThat(rpc.over()).isTrue();
+    }
+
+    @Test
+    void aNonIdempotentRpcThatMayHaveRunIsAbortedAndNeverSentAgain() {
+        method(Method.Repeat.NON_IDEMPOTENT, Method.Group.ALL);
+        door.start(3);
+        Policy.Rpc rpc = door.takeInQuota();
+        door.end(rpc, 0, Outcome.ERROR, 5_000);
+        assertThat(door.heard("call-out 1 ")).hasSize(1);
+        assertThat(door.heard("abort 1")).hasSize(1);
+        assertThat(door.heard("push back")).isEmpty();
+    }
+
+    @Test
+    void aNonIdempotentRpcThatIsKnownNotToHaveRunMayBeSentAgain() {
+        method(Method.Repeat.NON_IDEMPOTENT, Method.Group.ALL);
+        door.start(3);
+        door.end(door.takeInQuota(), 0, Outcome.FULL, 5_000);
+        assertThat(door.heard("call-out 1 ")).hasSize(2);
+    }
+
+    @Test
+    void aDeduplicatedRpcStaysInTheCellOfItsFirstCallOutAndIsNeverPushedBack() {
+        method(Method.Repeat.DEDUPLICATED, Method.Group.CELL);
+        door.start(4);
+        Policy.Rpc rpc = door.takeInQuota();
+        for (int i = 0; i < 3; i++) {
+            door.end(rpc, i, Outcome.ERROR, 5_000);
+        }
+        long parity = door.heard("call-out 1 ").stream().map(a -> a.charAt(a.length() - 1) % 2).distinct().count();
+        assertThat(parity).isEqualTo(1);
+        assertThat(door.heard("abort 1")).hasSize(1);
+        assertThat(door.heard("push back")).isEmpty();
+    }
+
+    @Test
+    void aDeduplicatedRpcIsNotSentAgainOnceItsWindowHasPassed() {
+        method(Method.Repeat.DEDUPLICATED, Method.Group.ALL);
+        door.start(4);
+        Policy.Rpc rpc = door.takeInQuota();
+        door.pass(1_100_000);
+        int before = door.heard("call-out 1 ").size();
+        for (int i = 0; i < before; i++) {
+            door.end(rpc, i, Outcome.ERROR, 1_100_000);
+        }
+        door.pass(7_000_000);
+        assertThat(door.heard("call-out 1 ")).hasSize(before);
+    }
+
+    @Test
+    void whereTwoCallOutsAtOnceAreForbiddenTheFirstIsCancelledBeforeAnother() {
+        door.secondCopies = false;
+        door.start(3);
+        Policy.Rpc rpc = door.takeInQuota();
+        door.pass(1_500_000);
+        assertThat(door.heard("call-out 1 ")).hasSize(1);
+        assertThat(door.heard("cancel 1 0")).hasSize(1);
+        door.end(rpc, 0, Outcome.CANCELLED, 1_500_000);
+        assertThat(door.heard("call-out 1 ")).hasSize(2);
+    }
+
+    @Test
+    void aBackendThatDrainsGetsNothingNew() {
+        door.start(2);
+        door.list(1, Listed.State.DRAINING, 0);
+        for (int i = 0; i < 3; i++) {
+            door.end(door.takeInQuota(), 0, Outcome.OK, 100_000);
+        }
+        assertThat(door.heard("call-out")).hasSize(3).allMatch(a -> a.endsWith("to 2"));
+    }
+
+    @Test
+    void aColdBackendGetsThisGatewaysShareOfItsRampAlone() {
+        door.start(0);
+        door.list(1, Listed.State.READY, door.clockUs);
+        for (int i = 0; i < 20; i++) {
+            Policy.Rpc rpc = door.takeInQuota();
+            if (!door.heard("call-out " + (i + 1) + " ").isEmpty()) {
+                door.end(rpc, 0, Outcome.OK, 10_000);
+            }
+            door.pass(50_000);
+        }
+        // 0.7 x 2 x a fifth of one core x 1.5 s, over two gateways: under one answer's time (250 ms) a window
+        assertThat(door.heard("call-out")).hasSizeBetween(1, 2);
+    }
+
+    @Test
+    void aRestartedGatewayDoesNotStakeACeilingOnWhatItDoesNotKnow() {
+        door.plan = new Plan(2, 4, 0, 2.2, 4.4, 0.4);
+        door.start(3);
+        door.take();
+        door.policy.counted(door.lastName(), Outcome.OK, 1, 1_000); // its call made the name: a burst of 0.8 is all that the ceiling surely leaves
+        assertThat(door.heard("push back 1")).hasSize(1);
+    }
+
+    @Test
+    void openCallOutsAreHeldToThisGatewaysShareOfTheLimit() {
+        door.plan = new Plan(0, 0, 4, 0, 0, 0);
+        door.start(3);
+        for (int i = 0; i < 3; i++) {
+            door.take();
+        }
+        assertThat(door.heard("call-out")).hasSize(2);
+        assertThat(door.heard("push back 3")).hasSize(1);
+        assertThat(door.heard("add")).isEmpty();
+    }
+}
