--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -195,6 +195,7 @@
         if (rpc.stage == Stage.LINE) {
             // 3. Wait in line until a backend's place comes free; pump() sends it on in its turn.
             line.add(rpc);
+            at(rpc.startByUs + 1, this::pump);
             pump();
         }
         // 4. What comes back is a call on the handle: Rpc.callOutEnded().
@@ -211,7 +212,7 @@
                 continue;
             }
             Backend backend = allPlacesTaken() ? null : pick(rpc);
-            if (backend == null && (!rpc.isBound() || allPlacesTaken())) break;
+            if (backend == null && !rpc.isBound()) break;
             line.poll();
             if (backend != null) {
                 send(rpc, backend);
@@ -785,7 +786,7 @@
         long usualUs() { return (long) Math.min(meanUs + 3 * devUs, method.softDeadlineUs() * 0.7); }
 
         long patienceUs() {
-            return (long) Math.max(2 * meanUs, Math.min(meanUs + 4 * devUs, method.softDeadlineUs() / 2.0));
+            return (long) Math.max(2 * meanUs, Math.min(meanUs + 4 * devUs, method.softDeadlineUs() * 0.7));
         }
     }
 
