--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -133,7 +133,7 @@
             silence(count);
             // A call turned away was not added, nor was one that an outage took; a busy counter adds late.
             boolean added = outcome == Outcome.TIMED_OUT && lastAnswerUs >= count.sentUs;
-            customer.owed += added ? 0 : count.amount;
+            customer.owed += added ? 0 : count.amount - count.excess; // whoever reads it next sees the excess
             customer.owed -= count.rpc != null && !count.rpc.admitted ? count.rpc.units : 0;
         }
         pump();
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -174,4 +174,14 @@
         door.answer(20 - 2 * excess); // another gateway had added the same
         assertThat(door.heard("add").get(2)).isEqualTo("add " + -excess);
     }
+
+    @Test
+    void anExcessThatWasTurnedAwayIsNotOwedLater() {
+        door.start(3);
+        door.takeCounted(20);
+        door.policy.counted(door.lastName(), Outcome.FULL, 0, 300); // another gateway will see it and add it
+        door.asked.clear();
+        door.take();
+        assertThat(door.asked.get(0)).isEqualTo("add 1.0");
+    }
 }
