--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -34,7 +34,6 @@
     private static final long PACE_WINDOW_US = 200_000;
     private static final double LEAST_PACE = 5;        // calls a second: what a dead counter is tried with
     private static final long OUTAGE_US = 1_000_000;   // of silence: what was spent before is refilled
-    private static final long FRESH_US = 1_000_000;    // a reading this fresh may be shared less cautiously
     private static final long LEAST_KEPT_US = 5_000_000;
     private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
     // The line and the places.
@@ -536,11 +535,10 @@
         double bucketNow(double units) {
             double depth = Math.max(units, plan.burst() / gateways);
             if (bucket >= 0) {
-                return Math.max(bucket, Math.min(depth, bucket + plan.rate() / gateways * (now() - bucketAtUs) / 1e6));
+                return Math.min(depth, bucket + plan.rate() / gateways * (now() - bucketAtUs) / 1e6);
             }
             double sinceStart = plan.rate() * (now() - startedUs) / 1e6; // starts with an empty bucket
             double known = creditAtUs != NEVER ? creditNow() : Math.min(plan.burst(), sinceStart);
-            if (plan.ceilingRate() <= 0 && now() - creditAtUs < FRESH_US) return Math.max(0, known / 2);
             return Math.max(0, Math.min(depth, known / gateways));
         }
 
