--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -38,7 +38,7 @@
     private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
     // The line and the places.
     private static final double FIRST_PLACES = 2;
-    private static final double LEAST_PLACES = 0.3;    // where gateways are many, each has a place at a few
+    private static final double LEAST_PLACES = 0.1;    // where gateways are many, each has a place at a few
     private static final double MOST_PLACES = 64;
     private static final double GROW_BY = 0.1;
     private static final double GROW_BELOW = 0.25;     // of the soft deadline: a place more is harmless
