--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -270,7 +270,7 @@
 
     /** Guards against what shows only as time (a hang, a vanished machine, a long pause, a crawl). */
     private void overdue(Rpc rpc, CallOut callOut) {
-        if (!callOut.out) return;
+        if (!callOut.out || rpc.streaming) return; // a stream that has begun belongs to the client
         Backend backend = callOut.backend;
         boolean mute = backend.lastAnswerUs < callOut.sentUs;
         if (mute && ++backend.suspicions >= 2) backend.eject();
@@ -853,7 +853,7 @@
             if (!isDone() && over) {
                 close();
             } else if (!isDone() && outCount() == 0 && !line.contains(this)
-                    && (outcome == Outcome.MOOT || !sendFurther(this, !callOut.neverRan))) {
+                    && (outcome == Outcome.MOOT || streaming || !sendFurther(this, !callOut.neverRan))) {
                 finish(this, 0);
             }
             pump();
--- a/src/test/java/hopdrum/policy/RulesStoryTest.java
+++ b/src/test/java/hopdrum/policy/RulesStoryTest.java
@@ -130,4 +130,14 @@
         assertThat(door.heard("push back 3")).hasSize(1);
         assertThat(door.heard("add")).isEmpty();
     }
+
+    @Test
+    void aStreamThatHasBegunIsLeftToTheClient() {
+        door.start(3);
+        Policy.Rpc rpc = door.takeCounted(2);
+        rpc.streamStarted(0);
+        door.pass(7_490_000);
+        assertThat(door.heard("call-out 1 ")).hasSize(1);
+        assertThat(door.heard("push back")).isEmpty();
+    }
 }
