--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -533,13 +533,13 @@
         }
 
         double bucketNow(double units) {
-            double depth = Math.max(units, plan.burst() / gateways);
+            double depth = Math.max(units, plan.burst() / gateways); // a slice below one RPC would let in none
             if (bucket >= 0) {
                 return Math.min(depth, bucket + plan.rate() / gateways * (now() - bucketAtUs) / 1e6);
             }
             double sinceStart = plan.rate() * (now() - startedUs) / 1e6; // starts with an empty bucket
             double known = creditAtUs != NEVER ? creditNow() : Math.min(plan.burst(), sinceStart);
-            return Math.max(0, Math.min(depth, known / gateways));
+            return depth * Math.max(0, Math.min(1, known / plan.burst()));
         }
 
         /**
