One bound on what a gateway has out; call-outs time out when it gives up

Cause: places were kept by backend; at many gateways a good answer added 0.1 and a late one took a tenth of a small figure, so overload built queues of work nobody waited for, and they never drained. First places are now a fleet's amount. A backend drops what is past the time-out that the call-out carries, where it does so. Guards also against crawls and cold fleets; may hold back a gateway whose share of the traffic jumps.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -37,10 +37,10 @@
     private static final long LEAST_KEPT_US = 5_000_000;
     private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
     // The line and the places.
-    private static final double FIRST_PLACES = 2;
-    private static final double LEAST_PLACES = 0.1;    // where gateways are many, each has a place at a few
-    private static final double MOST_PLACES = 64;
-    private static final double GROW_BY = 0.1;
+    private static final double FIRST_PLACES = 6;      // at a backend, of all gateways together
+    private static final double MOST_PLACES = 64;      // at a backend, of one gateway
+    private static final double GROW_BY = 0.1;         // places for an answer in good time, while all are in use
+    private static final double SHRINK_BY = 0.3;       // for an answer that came late or not at all
     private static final double GROW_BELOW = 0.25;     // of the soft deadline: a place more is harmless
     private static final double SHRINK_ABOVE = 0.5;    // of the soft deadline: places are too many
     // Health.
@@ -68,6 +68,7 @@
     private long orders;
     private long wakeAtUs = Long.MAX_VALUE;
     private double repeats = MOST_REPEATS;
+    private double places;                      // what this gateway may have out
     // The counter as a whole: its answers' time and its silence.
     private double answerUs = LEAST_TIME_OUT_US / 4.0;
     private double answerDevUs = LEAST_TIME_OUT_US / 4.0;
@@ -156,6 +157,7 @@
             backend.ready = entry.state() == Listed.State.READY;
         }
         backends.values().removeIf(b -> !b.ready);
+        if (places == 0) places = Math.max(1, FIRST_PLACES * backends.size() / settings.gateways());
         pump();
         arm();
     }
@@ -211,7 +213,7 @@
                 finish(rpc, 0); // it cannot meet its soft deadline any more: back while that is harmless
                 continue;
             }
-            Backend backend = allPlacesTaken() ? null : pick(rpc);
+            Backend backend = placesTaken() >= (int) places ? null : pick(rpc);
             if (backend == null && !rpc.isBound()) break;
             line.poll();
             if (backend != null) {
@@ -224,15 +226,23 @@
         if (bound != null) line.addAll(bound);
     }
 
-    /** Places may be less than one a backend: together they bound what this gateway has out. */
-    private boolean allPlacesTaken() {
-        double places = 0;
+    /** Places of the gateway in all: of many gateways each has far less than one a backend. */
+    private int placesTaken() {
         int out = 0;
-        for (Backend b : backends.values()) {
-            places += b.usable() ? b.limit : 0;
-            out += b.usable() ? b.out : 0;
+        for (Backend b : backends.values()) out += b.usable() ? b.out : 0;
+        return out;
+    }
+
+    /**
+     * Guards against queues that the gateways build together (overload, crawl, work nobody waits for any more):
+     * answers in good time add places while all are in use; a late answer, or none, takes some away.
+     */
+    private void judge(double partOfSoftDl) {
+        if (partOfSoftDl > SHRINK_ABOVE) {
+            places = Math.max(1, places - Math.max(SHRINK_BY, places / 100));
+        } else if (partOfSoftDl < GROW_BELOW && placesTaken() + 1 >= (int) places) {
+            places = Math.min(MOST_PLACES * backends.size(), places + GROW_BY);
         }
-        return out >= Math.max(1, places);
     }
 
     private Backend pick(Rpc rpc) {
@@ -262,7 +272,8 @@
         rpc.stage = Stage.OUT;
         backend.out++;
         backend.sentCold(rpc.row);
-        host.callOut(rpc.id, backend.id, 0);
+        // Its time-out is when this gateway gives up: a backend need not begin what nobody waits for.
+        host.callOut(rpc.id, backend.id, Math.max(1, rpc.giveUpAtUs - now()));
         at(now() + rpc.row.patienceUs(), () -> overdue(rpc, callOut));
     }
 
@@ -592,7 +603,7 @@
         double taken;               // work answered here of late, in cores
         long takenAtUs;
         int out;
-        double limit = FIRST_PLACES;
+        double limit = Math.max(1, 2 * FIRST_PLACES / settings.gateways());
         double slowness = 1;        // its answers' time against its peers'
         long slownessAtUs = now();
         double errors;              // share of late call-outs that ended in an error
@@ -696,16 +707,18 @@
             compare(row, tookUs);
             double part = (double) tookUs / row.method.softDeadlineUs();
             if (part > SHRINK_ABOVE) {
-                limit = Math.max(LEAST_PLACES, limit * 0.9);
-            } else if (part < GROW_BELOW && (out + 1 >= (int) limit && limit >= 1 || allPlacesTaken())) {
-                limit = Math.min(MOST_PLACES, limit + GROW_BY / Math.max(1, limit));
+                limit = Math.max(1, limit * 0.9);
+            } else if (part < GROW_BELOW && out + 1 >= (int) limit) {
+                limit = Math.min(MOST_PLACES, limit + 0.1 / limit);
             }
+            judge(part);
         }
 
         /** An answer that nobody could wait for says as much as a late one: places are too many. */
         void tookTooLong(Row row, long soFarUs) {
-            limit = Math.max(LEAST_PLACES, limit * 0.9);
+            limit = Math.max(1, limit * 0.9);
             if (soFarUs > row.meanUs) {
+                judge(1);
                 row.learn(soFarUs);
                 compare(row, soFarUs);
             }
@@ -720,7 +733,7 @@
         void failing(boolean answered) {
             if (answered) lastAnswerUs = now();
             errors += 0.15 * (1 - errors);
-            limit = Math.max(LEAST_PLACES, limit * 0.8);
+            limit = Math.max(1, limit * 0.8);
             if (++errorsInARow >= 3 || errors > 0.5 || onTrial) eject();
         }
 
@@ -845,6 +858,7 @@
                 }
                 case ERROR, FULL -> backend.failing(true);
                 case CONNECT_FAILED, RESET -> backend.failing(false);
+                case TIMED_OUT -> backend.tookTooLong(row, tookUs);
                 default -> { }
             }
             if (settled > 0 && settings.settles() && admitted && settled != units) {
@@ -853,7 +867,7 @@
             if (!isDone() && over) {
                 close();
             } else if (!isDone() && outCount() == 0 && !line.contains(this)
-                    && (outcome == Outcome.MOOT || streaming || !sendFurther(this, !callOut.neverRan))) {
+                    && (outcome == Outcome.MOOT || outcome == Outcome.TIMED_OUT || streaming || !sendFurther(this, !callOut.neverRan))) {
                 finish(this, 0);
             }
             pump();
