Under a pace the bucket lets in first and calls go to what it would push back; the pace moves with each call

Cause: windows of 200 ms hold one call at a hundred gateways; the least pace times the gateways was above the counter's capacity; calls were spent on RPCs the bucket could let in. Take-backs go out at once again.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -31,8 +31,9 @@
     private static final long EPOCH_US = 60_000_000;
     private static final int CUSTOMER_BITS = 33;
     private static final long LEAST_TIME_OUT_US = 5_000;
-    private static final long PACE_WINDOW_US = 200_000;
-    private static final double LEAST_PACE = 5;        // calls a second: what a dead counter is tried with
+    private static final double LEAST_PACE = 60;       // calls a second of all gateways, to try a dead counter
+    private static final double PACE_DROP = 0.85;      // for a call lost
+    private static final double PACE_GAIN = 0.01;      // for a call answered, and as much for each second so far
     private static final long OUTAGE_US = 1_000_000;   // of silence: what was spent before is refilled
     private static final long LEAST_KEPT_US = 5_000_000;
     private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
@@ -74,13 +75,13 @@
     private double answerDevUs = LEAST_TIME_OUT_US / 4.0;
     private long lastAnswerUs = NEVER;
     private double pace = Double.MAX_VALUE;     // calls a second that the counter is asked for at most
-    private double knownGoodPace = Double.MAX_VALUE;
+    private double knownGoodPace;
     private double allowance = 1;               // calls that may be made now
     private long allowanceAtUs;
-    private long paceWindowUs;
-    private int callsInWindow;
-    private int answersInWindow;
-    private int turnedAwayInWindow;
+    private double callRate;                    // calls a second, over the last second or so
+    private long lastCallUs;
+    private long lastLossUs;
+    private boolean answeredSinceLoss;
 
     public Policy(Settings settings, long seed, Host host) {
         this.settings = settings;
@@ -125,12 +126,12 @@
             count.settled = true;
             if (now() - lastAnswerUs > OUTAGE_US) customers.values().forEach(Customer::forgetRefilled);
             lastAnswerUs = now();
-            answersInWindow++;
+            paceUp(tookUs);
             answerDevUs += (Math.abs(tookUs - answerUs) - answerDevUs) / 4;
             answerUs += (tookUs - answerUs) / 8;
             customer.answered(count, total);
         } else {
-            turnedAwayInWindow++;
+            paceDown();
             silence(count);
             // A call turned away was not added, nor was one that an outage took; a busy counter adds late.
             boolean added = outcome == Outcome.TIMED_OUT && lastAnswerUs >= count.sentUs;
@@ -182,6 +183,9 @@
             // 2. Ask: one call on the customer's count adds the units; its answer comes to answered().
             if (plan.rate() <= 0) {
                 rpc.stage = Stage.LINE;
+            } else if (isPaced() && customer.bucketNow(rpc.units) >= rpc.units) {
+                customer.decideLocally(rpc);
+                return;
             } else if (customer.awaitsVerdict(rpc)) {
                 customer.waiting.add(rpc); // the credit known is spoken for by calls still out
                 return;
@@ -337,40 +341,43 @@
     }
 
     /**
-     * Guards a counter that is crowded, slow, refusing or dead, whatever the cause: calls turned away or
-     * never answered lower the pace to what was answered, as TCP does; a dead one is tried now and then.
-     * An RPC above the pace is decided by the leaky bucket; its units ride on the customer's next call.
+     * Guards a counter that is crowded, slow, refusing or dead, whatever the cause: a call lost lowers the pace
+     * of calls, answers raise it again, as TCP does; a dead counter is tried now and then. Ends by itself, when
+     * there are far fewer calls than the pace allows. While it acts, the leaky bucket lets in what it can, and
+     * the calls go to what it would push back.
      */
+    private boolean isPaced() { return pace < Double.MAX_VALUE; }
+
     private boolean counterMayBeAsked() {
         if (!settings.mayCount()) return false;
-        adaptPace();
-        if (pace == Double.MAX_VALUE) return true;
-        allowance = Math.min(Math.max(1, pace / 20), allowance + pace * (now() - allowanceAtUs) / 1e6);
+        if (!isPaced()) return true;
+        allowance = Math.min(Math.max(1, pace / 10), allowance + pace * (now() - allowanceAtUs) / 1e6);
         allowanceAtUs = now();
-        if (allowance < 1) return false;
-        allowance -= 1;
-        return true;
+        return allowance >= 1;
     }
 
-    private void adaptPace() {
-        double windowS = (now() - paceWindowUs) / 1e6;
-        if (now() - paceWindowUs < PACE_WINDOW_US) return;
-        double answered = answersInWindow / windowS;
-        if (turnedAwayInWindow > 0.02 * callsInWindow && turnedAwayInWindow > 1 || answersInWindow == 0
-                && turnedAwayInWindow > 0) {
-            if (answersInWindow > 0) {
-                knownGoodPace = 0.85 * Math.min(pace, answered);
-            } else if (knownGoodPace == Double.MAX_VALUE) {
-                knownGoodPace = pace == Double.MAX_VALUE ? callsInWindow / windowS : pace;
-            }
-            pace = Math.max(LEAST_PACE, answersInWindow > 0 ? knownGoodPace : LEAST_PACE);
-        } else if (pace < Double.MAX_VALUE && answersInWindow > 0 && callsInWindow >= 0.7 * pace * windowS) {
-            pace *= pace < knownGoodPace ? 2 : 1.05;
-        }
-        paceWindowUs = now();
-        callsInWindow = 0;
-        answersInWindow = 0;
-        turnedAwayInWindow = 0;
+    private double callRate() { return callRate * Math.exp((lastCallUs - now()) / 1e6); }
+
+    private void paceUp(long tookUs) {
+        answeredSinceLoss = true;
+        if (!isPaced()) return;
+        double sinceLossS = (now() - lastLossUs) / 1e6;
+        if (pace < knownGoodPace) {
+            pace = Math.min(knownGoodPace, pace * 2);
+        } else if (tookUs < settings.countWaitUs() / 4 && allowance < 2) {
+            pace *= 1 + PACE_GAIN * (1 + sinceLossS);
+        }
+        if (sinceLossS > 5 && pace > 3 * callRate()) {
+            pace = Double.MAX_VALUE;
+            knownGoodPace = 0;
+        }
+    }
+
+    private void paceDown() {
+        if (answeredSinceLoss) knownGoodPace = (isPaced() ? pace : callRate()) * PACE_DROP;
+        pace = Math.max(LEAST_PACE / settings.gateways(), (isPaced() ? pace : callRate()) * PACE_DROP);
+        answeredSinceLoss = false;
+        lastLossUs = now();
     }
 
     private void silence(Count count) {
@@ -462,18 +469,16 @@
             count.amount = amount;
             count.sentUs = now();
             pending.add(count);
-            callsInWindow++;
+            callRate = callRate() + 1;
+            lastCallUs = now();
+            allowance -= 1;
             host.addToCount(name, amount, EPOCH_US);
             return count;
         }
 
         /** A negative add; while the counter is paced it rides on the next call. */
         void giveBack(long name, double units) {
-            if (pace == Double.MAX_VALUE) {
-                add(name, -units);
-            } else {
-                owed -= units;
-            }
+            add(name, -units);
         }
 
         Count nextOf(long name) {
