--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -254,7 +254,7 @@
         double bestScore = Double.MAX_VALUE;
         for (Backend b : backends.values()) {
             if (!rpc.mayGoTo(b) || rpc.isOutAt(b) || !b.hasPlace(rpc.row)) continue;
-            double score = b.score() * (rpc.tried(b) ? 1000 : 1);
+            double score = b.score() * (1 + 0.02 * random.nextDouble()) * (rpc.tried(b) ? 1000 : 1);
             if (score < bestScore) {
                 bestScore = score;
                 best = b;
@@ -634,17 +634,11 @@
             return usable() && out < (onTrial ? 1 : Math.max(1, (int) limit)) && coldAllows(row);
         }
 
-        /**
-         * What is out and waiting here, against its size and speed. What other gateways have out here is not
-         * known: chance stands in for it, so that equals are drawn in proportion to what they can do.
-         */
         double score() {
             double idleS = (now() - slownessAtUs) / 1e6;
             double slow = 1 + (slowness - 1) * Math.pow(0.5, idleS / 5);
             double waiting = now() - queueAtUs < 1_000_000 ? queue / 2 : 0;
-            double size = settings.weightIsSize() ? listed.weight() : 1;
-            double others = -Math.log(1 - random.nextDouble());
-            return (out + others + waiting) * slow / size / Math.pow(1 - Math.min(0.9, errors), 2);
+            return (out + 1 + waiting) * slow / Math.pow(1 - Math.min(0.9, errors), 2);
         }
 
         /** This gateway's share of what a backend just started can take, counted as work in a window. */
