--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -70,8 +70,6 @@
     private long wakeAtUs = Long.MAX_VALUE;
     private double repeats = MOST_REPEATS;
     private double places;                      // what this gateway may have out
-    private double sendGapUs;                   // time between first call-outs of late, while work waits
-    private long lastSendUs;
     // The counter as a whole: its answers' time and its silence.
     private double answerUs = LEAST_TIME_OUT_US / 4.0;
     private double answerDevUs = LEAST_TIME_OUT_US / 4.0;
@@ -173,8 +171,8 @@
         if (rpc.stage == Stage.NEW) {
             // 1. Beyond quota for certain: more than its share open, or a reading not yet refilled says so.
             customer.lastUsedUs = now();
-            if (rpc.isTooLate() || now() + lineWaitUs() > rpc.startByUs && rpc.row.method.lateUtility() <= 0) {
-                finish(rpc, 0); // a client's late repeat, or a line too long for it: takes no units
+            if (rpc.isTooLate()) {
+                finish(rpc, 0); // a client's repeat whose soft deadline has passed takes no units
                 return;
             }
             long waitUs = customer.beyondUntilUs - now();
@@ -251,9 +249,6 @@
         }
     }
 
-    /** How long the line is for one who comes now, by the pace at which places came free of late. */
-    private long lineWaitUs() { return (long) (line.size() * sendGapUs); }
-
     private Backend pick(Rpc rpc) {
         Backend best = null;
         double bestScore = Double.MAX_VALUE;
@@ -278,8 +273,6 @@
             rpc.customer.open++;
         }
         rpc.callOuts.add(callOut);
-        sendGapUs += 0.1 * (Math.min(1e6, now() - lastSendUs) - sendGapUs);
-        lastSendUs = now();
         rpc.stage = Stage.OUT;
         backend.out++;
         backend.sentCold(rpc.row);
