--- a/src/main/java/hopdrum/benchlink/Instance.java
+++ b/src/main/java/hopdrum/benchlink/Instance.java
@@ -60,7 +60,7 @@
     private void inbound(ByteBuffer in) {
         long id = unsigned(in);
         long customer = in.getLong();
-        in.getFloat();
+        int first = (int) in.getFloat();
         double units = in.getFloat();
         int method = in.getShort() & 0xffff;
         int plan = in.getShort() & 0xffff;
@@ -68,7 +68,7 @@
         int gateways = (int) in.getFloat();
         long leftUs = unsigned(in);
         if (policy != null) {
-            Policy.Rpc rpc = policy.take(id, method, customer, plan, units, gateways, leftUs);
+            Policy.Rpc rpc = policy.take(id, method, customer, plan, units, first, gateways, leftUs);
             keep(id, rpc);
         }
     }
@@ -168,7 +168,10 @@
 
     private void message(ByteBuffer in) {
         in.getShort();
-        bytes(in, in.getShort() & 0xffff);
+        byte[] message = bytes(in, in.getShort() & 0xffff);
+        if (policy != null) {
+            policy.heard(message);
+        }
     }
 
     private void keep(long id, Policy.Rpc rpc) {
@@ -255,6 +258,12 @@
         reply.record(92, number, 21).putLong(name).putFloat((float) units).putInt((int) timeToLiveUs);
     }
 
+    @Override
+    public void tell(int gateway, byte[] message) {
+        reply.record(87, number, 9 + message.length).putShort((short) gateway).putShort((short) message.length)
+                .put(message);
+    }
+
     @Override
     public void wakeIn(long delayUs) {
         reply.record(84, number, 13).putInt((int) delayUs).putInt(0);
--- a/src/main/java/hopdrum/benchlink/SettingsReader.java
+++ b/src/main/java/hopdrum/benchlink/SettingsReader.java
@@ -45,8 +45,9 @@
                     number(at + "CeilingBurst", 0), number(at + "CapSlack", 0)));
         }
         String weights = pairs.getOrDefault("Weights", "none");
-        return new Settings((int) whole("NInstances"), (int) whole("Ordinal"), whole("TickUs"), methods, plans, flag("FamilyInfo.MayCount", false),
-                (long) number("FamilyInfo.CountWaitUs", 0), flag("FamilyInfo.Settles", false),
+        return new Settings((int) whole("NInstances"), (int) whole("Ordinal"), whole("TickUs"), methods, plans,
+                flag("FamilyInfo.MayCount", false), (long) number("FamilyInfo.CountWaitUs", 0),
+                flag("Bounds.Peers", false), flag("FamilyInfo.Settles", false),
                 (int) whole("Bounds.AttemptsCap"), flag("Bounds.Cancel", false),
                 flag("Bounds.RetryAfter", false),
                 (long) number("Bounds.MaxRetryAfterUs", 0), flag("Bounds.SecondCopies", false),
--- a/src/main/java/hopdrum/host/Host.java
+++ b/src/main/java/hopdrum/host/Host.java
@@ -17,6 +17,9 @@
 
     void addToCount(long name, double units, long timeToLiveUs);
 
+    /** Sends a short message to another gateway; it may come late or never. */
+    void tell(int gateway, byte[] message);
+
     void wakeIn(long delayUs);
 
     /** Follows the list of backends, where it has to be asked for. */
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -6,6 +6,7 @@
 import hopdrum.host.Outcome;
 import hopdrum.host.Plan;
 import hopdrum.host.Settings;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -20,7 +21,7 @@
 /**
  * All decisions of one gateway. A front door makes one Policy for each start and calls it from one thread:
  * take() for a new RPC, which returns its handle; all later news of that RPC is a call on the handle (Rpc).
- * News that belongs to no RPC comes by counted(), listed() and wake().
+ * News that belongs to no RPC comes by counted(), listed(), heard() and wake().
  * The Policy answers by calls on Host while it is being called; hopdrum.host holds that interface and the
  * types of the settings. Read advance() first: it is the ordinary path of an RPC from top to bottom.
  * Times are microseconds. Nothing here knows a deployment, a method or a customer by name.
@@ -37,6 +38,8 @@
     private static final long OUTAGE_US = 1_000_000;   // of silence: what was spent before is refilled
     private static final long LEAST_KEPT_US = 5_000_000;
     private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
+    private static final long SLICED_US = 2_000_000;   // how long a customer read beyond is kept to its slices
+    private static final double MOST_WEIGHT = 4;       // RPCs that one call may stand for
     // The line and the places.
     private static final double FIRST_PLACES = 6;      // at a backend, of all gateways together
     private static final double MOST_PLACES = 64;      // at a backend, of one gateway
@@ -61,6 +64,7 @@
     private final Row[] rows;
     private final Map<Long, Backend> backends = new LinkedHashMap<>();   // emptied by list news
     private final Map<Long, Customer> customers = new LinkedHashMap<>(); // emptied by sweep() when idle
+    private final Map<Long, Long> slicedUntilUs = new LinkedHashMap<>();  // by customer; emptied by sweep()
     private final PriorityQueue<Rpc> line = new PriorityQueue<>(         // emptied by pump() and finish()
             Comparator.comparingLong((Rpc r) -> r.startByUs).thenComparingLong(r -> r.order));
     private final PriorityQueue<Timer> timers = new PriorityQueue<>(     // emptied as they come due
@@ -82,6 +86,8 @@
     private long lastCallUs;
     private long lastLossUs;
     private boolean answeredSinceLoss;
+    private int uncounted;                      // let in by a bucket since the last call
+    private double uncountedPerCall;
 
     public Policy(Settings settings, long seed, Host host) {
         this.settings = settings;
@@ -98,9 +104,10 @@
     // ---- What the front door tells ----
 
     /** A client's RPC has come in; exactly one final answer is owed from here on. */
-    public Rpc take(long id, int method, long customer, int plan, double units, int gateways, long leftUs) {
+    public Rpc take(long id, int method, long customer, int plan, double units, int first, int gateways,
+                    long leftUs) {
         Customer c = customers.computeIfAbsent(customer,
-                k -> new Customer(k, settings.plans().get(plan), gateways));
+                k -> new Customer(k, settings.plans().get(plan), first, gateways));
         Rpc rpc = new Rpc(id, rows[method], c, units, leftUs);
         at(rpc.giveUpAtUs, () -> outOfTime(rpc));
         advance(rpc);
@@ -136,12 +143,18 @@
             // A call turned away was not added, nor was one that an outage took; a busy counter adds late.
             boolean added = outcome == Outcome.TIMED_OUT && lastAnswerUs >= count.sentUs;
             customer.owed += added ? 0 : count.amount - count.excess; // whoever reads it next sees the excess
-            customer.owed -= count.rpc != null && !count.rpc.admitted ? count.rpc.units : 0;
+            customer.owed -= count.rpc != null && !count.rpc.admitted ? count.weight : 0;
         }
         pump();
         arm();
     }
 
+    /** Another gateway has read a customer beyond its quota: until then it is kept to its slices here too. */
+    public void heard(byte[] message) {
+        ByteBuffer said = ByteBuffer.wrap(message);
+        slice(said.getLong(), now() + said.getInt());
+    }
+
     public void listed(Listed.Form form, List<Listed> entries) {
         if (form == Listed.Form.NONE) {
             at(now() + 1_000_000, host::followList);
@@ -183,8 +196,8 @@
             // 2. Ask: one call on the customer's count adds the units; its answer comes to answered().
             if (plan.rate() <= 0) {
                 rpc.stage = Stage.LINE;
-            } else if (isPaced() && customer.bucketNow(rpc.units) >= rpc.units) {
-                customer.decideLocally(rpc);
+            } else if (now() < slicedUntilUs.getOrDefault(customer.key, NEVER)) {
+                customer.decideLocally(rpc); // read beyond, here or at another gateway
                 return;
             } else if (customer.awaitsVerdict(rpc)) {
                 customer.waiting.add(rpc); // the credit known is spoken for by calls still out
@@ -343,8 +356,9 @@
     /**
      * Guards a counter that is crowded, slow, refusing or dead, whatever the cause: a call lost lowers the pace
      * of calls, answers raise it again, as TCP does; a dead counter is tried now and then. Ends by itself, when
-     * there are far fewer calls than the pace allows. While it acts, the leaky bucket lets in what it can, and
-     * the calls go to what it would push back.
+     * there are far fewer calls than the pace allows. While it acts, RPCs above the pace are decided by the
+     * leaky bucket; a call stands for those that it let in since the last, whatever their customer, so that the
+     * counts are right in the mean.
      */
     private boolean isPaced() { return pace < Double.MAX_VALUE; }
 
@@ -387,7 +401,21 @@
         while (!count.customer.waiting.isEmpty()) count.customer.decideLocally(count.customer.waiting.poll());
     }
 
+    /**
+     * Guards the counter against customers beyond their quota at many gateways: while calls are paced, one
+     * reading serves all. The customer's gateways keep it to their slices, which together are its rate, and
+     * the reader has added what they will let in.
+     */
+    private void slice(long customer, long untilUs) {
+        if (slicedUntilUs.merge(customer, untilUs, Math::max) == untilUs && customers.containsKey(customer)) {
+            customers.get(customer).startSlice();
+        }
+    }
+
+    private boolean counterAnswers() { return now() - lastAnswerUs < OUTAGE_US; }
+
     private void sweep() {
+        slicedUntilUs.values().removeIf(untilUs -> now() > untilUs + SLICED_US);
         customers.values().removeIf(Customer::isIdle);
         at(now() + SWEEP_US, this::sweep);
     }
@@ -396,6 +424,7 @@
     private final class Customer {
         final long key;
         final Plan plan;
+        final int first;            // its gateways are so many in a row from this one
         final int gateways;
         final Deque<Count> pending = new ArrayDeque<>(2);  // emptied by answers; each call gets one
         final Deque<Rpc> waiting = new ArrayDeque<>(1);    // emptied when a pending call is settled
@@ -409,15 +438,17 @@
         long nextReturnUs = NEVER;
         int open;
 
-        Customer(long key, Plan plan, int gateways) {
+        Customer(long key, Plan plan, int first, int gateways) {
             this.key = key;
             this.plan = plan;
-            this.gateways = Math.max(1, gateways);
+            this.first = first;
+            this.gateways = Math.max(1, Math.min(gateways, settings.gateways()));
         }
 
         boolean isIdle() {
             double fullUs = plan.rate() > 0 ? plan.burst() / plan.rate() * 1e6 : 0;
-            return pending.isEmpty() && open == 0 && now() - lastUsedUs > Math.max(LEAST_KEPT_US, 2 * fullUs);
+            return pending.isEmpty() && open == 0 && now() - lastUsedUs > Math.max(LEAST_KEPT_US, 2 * fullUs)
+                    && (bucket < 0 || bucketNow(1) >= Math.max(1, plan.burst() / gateways));
         }
 
         boolean openIsFull() {
@@ -456,9 +487,14 @@
         }
 
         void ask(Rpc rpc) {
-            Count count = add((now() + stagger(key)) / EPOCH_US << CUSTOMER_BITS | key, rpc.units + owed);
+            uncountedPerCall += 0.1 * (uncounted - uncountedPerCall);
+            uncounted = 0;
+            double weight = rpc.units * (isPaced() ? Math.min(MOST_WEIGHT, 1 + uncountedPerCall) : 1);
+            Count count = add((now() + stagger(key)) / EPOCH_US << CUSTOMER_BITS | key, weight + owed);
             owed = 0;
+            count.weight = weight;
             count.rpc = rpc;
+            rpc.weight = weight;
             at(now() + timeOutUs(), () -> silence(count));
         }
 
@@ -515,11 +551,11 @@
                 trim.excess = excess;
                 trim.roomAfter = room;
             }
-            bucket = -1;
+            if (!isPaced()) bucket = -1;
             if (rpc.stage != Stage.COUNTING) { // answered late, decided by the leaky bucket meanwhile
                 if (!rpc.admitted) {
-                    giveBack(count.name, rpc.units);
-                    room += rpc.units;
+                    giveBack(count.name, count.weight);
+                    room += count.weight;
                 }
                 know(room);
             } else if (room >= 0) {
@@ -527,10 +563,15 @@
                 rpc.admit();
                 advance(rpc);
             } else {
-                giveBack(count.name, rpc.units);
                 long waitUs = (long) (-room / plan.rate() * 1e6);
-                beyondUntilUs = now() + waitUs;
-                know(room + rpc.units);
+                room += count.weight;
+                if (isPaced()) {
+                    readBeyond(count, room);
+                } else {
+                    giveBack(count.name, count.weight);
+                    beyondUntilUs = now() + waitUs;
+                }
+                know(room);
                 finish(rpc, returnIn(waitUs, rpc.units));
             }
             while (!waiting.isEmpty() && !awaitsVerdict(waiting.peek())) advance(waiting.poll());
@@ -541,6 +582,28 @@
             creditAtUs = now();
         }
 
+        /** While paced: its gateways are told, and the count gets what their slices will let in till then. */
+        void readBeyond(Count count, double room) {
+            double forUs = Math.max(SLICED_US, -room / plan.rate() * 1e6);
+            double sliced = plan.rate() * forUs / 1e6;
+            add(count.name, (settings.mayTell() ? Math.max(0, sliced + room) : sliced / gateways) - count.weight);
+            for (int i = 0; settings.mayTell() && i < gateways; i++) {
+                int gateway = (first + i) % settings.gateways();
+                if (gateway != settings.ordinal()) {
+                    host.tell(gateway, ByteBuffer.allocate(12).putLong(key).putInt((int) forUs).array());
+                }
+            }
+            slice(key, now() + (long) forUs);
+        }
+
+        /** As if the slice had long been in use: its credit is anything up to one RPC. */
+        void startSlice() {
+            if (bucket < 0 || now() - bucketAtUs > 5 * SLICED_US) {
+                bucket = random.nextDouble() * Math.max(1, plan.burst() / gateways);
+                bucketAtUs = now();
+            }
+        }
+
         /** What the store holds by this gateway's memory; a ceiling may not be staked on an unknown past. */
         double rememberedCredit() {
             if (creditAtUs != NEVER) return creditNow();
@@ -576,7 +639,8 @@
             if (bucket >= rpc.units) {
                 bucket -= rpc.units;
                 credit -= rpc.units;
-                owed += counted ? 0 : rpc.units;
+                if (!counted && counterAnswers()) uncounted++;
+                owed += counted || counterAnswers() ? 0 : rpc.units;
                 rpc.admit();
                 advance(rpc);
             } else {
@@ -593,6 +657,7 @@
         double amount;
         long sentUs;
         Rpc rpc;          // that waits for it, if any
+        double weight;    // the units that it stands for
         double excess;    // that it adds back, and the room that should be left then
         double roomAfter;
         boolean settled;  // answered, or silent past the time-out
@@ -824,6 +889,7 @@
         private final Row row;
         private final Customer customer;
         private final double units;
+        private double weight;      // as counted for it
         private final long softDlUs;
         private final long startByUs; // later it is not likely to meet its soft deadline
         private final long giveUpAtUs;
@@ -904,7 +970,7 @@
             if (stage == Stage.LINE || stage == Stage.OUT) line.remove(this);
             customer.waiting.remove(this);
             if (callOuts.isEmpty() && admitted) {
-                customer.owed -= units;
+                customer.owed -= weight;
             } else if (!callOuts.isEmpty()) {
                 customer.open--;
             }
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -97,7 +97,7 @@
             served(50_000);
         }
         door.asked.clear();
-        door.policy.take(99, 0, 11, 0, 1, 2, 5_000_000); // 2.5 s of its client's 7.5 s are gone
+        door.policy.take(99, 0, 11, 0, 1, 0, 2, 5_000_000); // 2.5 s of its client's 7.5 s are gone
         assertThat(door.asked).containsExactly("push back 99 for 0");
     }
 
@@ -129,7 +129,7 @@
         int calls = 0;
         for (int i = 0; i < 500; i++) {
             int before = door.heard("add").size();
-            Policy.Rpc rpc = door.policy.take(1000 + i, 0, 100 + i, 0, 1, 2, 7_500_000);
+            Policy.Rpc rpc = door.policy.take(1000 + i, 0, 100 + i, 0, 1, 0, 2, 7_500_000);
             if (door.heard("add").size() > before) {
                 calls++;
                 door.policy.counted(door.lastName(), Outcome.FULL, 0, 300);
--- a/src/test/java/hopdrum/policy/FakeHost.java
+++ b/src/test/java/hopdrum/policy/FakeHost.java
@@ -24,7 +24,7 @@
     private long lastId;
 
     FakeHost start(int backends) {
-        policy = new Policy(new Settings(gateways, 0, 1_000, List.of(method), List.of(plan), true, 50_000, false,
+        policy = new Policy(new Settings(gateways, 0, 1_000, List.of(method), List.of(plan), true, 50_000, true, false,
                 3, true, true, 1_000_000, secondCopies, false, false, List.of("depth"), 0.2, 10_000_000, 2, 1_500_000), 7, this);
         for (int i = 1; i <= backends; i++) {
             list(i, Listed.State.READY, 0);
@@ -39,7 +39,7 @@
     }
 
     Policy.Rpc take() {
-        return policy.take(++lastId, 0, 11, 0, 1, 2, 7_500_000);
+        return policy.take(++lastId, 0, 11, 0, 1, 0, 2, 7_500_000);
     }
 
     Policy.Rpc takeInQuota() {
@@ -117,6 +117,11 @@
         names.add(name);
     }
 
+    @Override
+    public void tell(int gateway, byte[] message) {
+        asked.add("tell " + gateway);
+    }
+
     @Override
     public void wakeIn(long delayUs) {
         wakeUs = Math.min(wakeUs, clockUs + delayUs);
