--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -34,10 +34,11 @@
     private static final long LEAST_TIME_OUT_US = 5_000;
     private static final double LEAST_PACE = 60;       // calls a second of all gateways, to try a dead counter
     private static final double PACE_DROP = 0.85;      // for a call lost
-    private static final double PACE_GAIN = 0.01;      // for a call answered, and as much for each second so far
+    private static final double PACE_GAIN = 0.03;      // for a call answered, and as much for each second so far
     private static final long OUTAGE_US = 1_000_000;   // of silence: what was spent before is refilled
     private static final long LEAST_KEPT_US = 5_000_000;
     private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
+    private static final double AT_START = 0.75;       // buckets that a gateway just started takes as full
     private static final long SLICED_US = 2_000_000;   // how long a customer read beyond is kept to its slices
     private static final double MOST_WEIGHT = 4;       // RPCs that one call may stand for
     // The line and the places.
@@ -370,7 +371,9 @@
         return allowance >= 1;
     }
 
-    private double callRate() { return callRate * Math.exp((lastCallUs - now()) / 1e6); }
+    private double callRate() {
+        return callRate * Math.exp((lastCallUs - now()) / 1e6) / (1 - Math.exp((startedUs - now() - 1) / 1e6));
+    }
 
     private void paceUp(long tookUs) {
         answeredSinceLoss = true;
@@ -378,7 +381,7 @@
         double sinceLossS = (now() - lastLossUs) / 1e6;
         if (pace < knownGoodPace) {
             pace = Math.min(knownGoodPace, pace * 2);
-        } else if (tookUs < settings.countWaitUs() / 4 && allowance < 2) {
+        } else if (tookUs < settings.countWaitUs() / 6 && allowance < 2) {
             pace *= 1 + PACE_GAIN * (1 + sinceLossS);
         }
         if (sinceLossS > 5 && pace > 3 * callRate()) {
@@ -505,7 +508,7 @@
             count.amount = amount;
             count.sentUs = now();
             pending.add(count);
-            callRate = callRate() + 1;
+            callRate = callRate * Math.exp((lastCallUs - now()) / 1e6) + 1;
             lastCallUs = now();
             allowance -= 1;
             host.addToCount(name, amount, EPOCH_US);
@@ -616,9 +619,9 @@
             if (bucket >= 0) {
                 return Math.min(depth, bucket + plan.rate() / gateways * (now() - bucketAtUs) / 1e6);
             }
-            double sinceStart = plan.rate() * (now() - startedUs) / 1e6; // starts with an empty bucket
-            double known = creditAtUs != NEVER ? creditNow() : Math.min(plan.burst(), sinceStart);
-            return depth * Math.max(0, Math.min(1, known / plan.burst()));
+            if (creditAtUs != NEVER) return depth * Math.max(0, Math.min(1, creditNow() / plan.burst()));
+            double sinceStart = plan.rate() * (now() - startedUs) / 1e6 / plan.burst();
+            return random.nextDouble() < Math.max(AT_START, sinceStart) ? depth : 0; // full in part of the cases
         }
 
         /**
