--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -200,6 +200,9 @@
             } else if (now() < slicedUntilUs.getOrDefault(customer.key, NEVER)) {
                 customer.decideLocally(rpc); // read beyond, here or at another gateway
                 return;
+            } else if (isPaced() && allowance < 2 && customer.bucketNow(rpc.units) >= rpc.units) {
+                customer.decideLocally(rpc);
+                return;
             } else if (customer.awaitsVerdict(rpc)) {
                 customer.waiting.add(rpc); // the credit known is spoken for by calls still out
                 return;
