--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -11,7 +11,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -117,9 +116,7 @@
     }
 
     public void wake() {
-        if (now() < wakeAtUs) {
-            return; // an earlier wake-up has done this one's work
-        }
+        if (now() < wakeAtUs) return; // an earlier wake-up has done this one's work
         wakeAtUs = Long.MAX_VALUE;
         while (!timers.isEmpty() && timers.peek().atUs <= now()) timers.poll().what.run();
         pump();
@@ -144,7 +141,7 @@
             // A call turned away was not added, nor was one that an outage took; a busy counter adds late.
             boolean added = outcome == Outcome.TIMED_OUT && lastAnswerUs >= count.sentUs;
             customer.owed += added ? 0 : count.amount - count.excess; // whoever reads it next sees the excess
-            customer.owed -= count.rpc != null && !count.rpc.admitted ? count.weight : 0;
+            customer.owed -= count.rpc != null && !count.rpc.admitted ? count.rpc.weight : 0;
         }
         pump();
         arm();
@@ -162,6 +159,7 @@
             arm();
             return;
         }
+        int before = backends.size();
         if (form != Listed.Form.CHANGES) backends.values().forEach(b -> b.ready = false);
         for (Listed entry : entries) {
             Backend backend = backends.computeIfAbsent(entry.backend(), id -> new Backend(entry));
@@ -172,7 +170,8 @@
             backend.ready = entry.state() == Listed.State.READY;
         }
         backends.values().removeIf(b -> !b.ready);
-        if (places == 0) places = Math.max(1, FIRST_PLACES * backends.size() / settings.gateways());
+        double perBackend = before == 0 ? FIRST_PLACES / settings.gateways() : places / before;
+        places = Math.max(1, perBackend * backends.size()); // a fleet half as large bears half as much
         pump();
         arm();
     }
@@ -194,19 +193,15 @@
                 finish(rpc, customer.returnIn(Math.max(waitUs, 0), rpc.units));
                 return;
             }
+            boolean bucketFirst = now() < slicedUntilUs.getOrDefault(customer.key, NEVER) // read beyond somewhere
+                    || isPaced() && allowance < 2 && customer.bucketNow(rpc.units) >= rpc.units;
             // 2. Ask: one call on the customer's count adds the units; its answer comes to answered().
             if (plan.rate() <= 0) {
                 rpc.stage = Stage.LINE;
-            } else if (now() < slicedUntilUs.getOrDefault(customer.key, NEVER)) {
-                customer.decideLocally(rpc); // read beyond, here or at another gateway
-                return;
-            } else if (isPaced() && allowance < 2 && customer.bucketNow(rpc.units) >= rpc.units) {
-                customer.decideLocally(rpc);
-                return;
-            } else if (customer.awaitsVerdict(rpc)) {
+            } else if (!bucketFirst && customer.awaitsVerdict(rpc)) {
                 customer.waiting.add(rpc); // the credit known is spoken for by calls still out
                 return;
-            } else if (counterMayBeAsked()) {
+            } else if (!bucketFirst && counterMayBeAsked()) {
                 rpc.stage = Stage.COUNTING;
                 customer.ask(rpc);
                 return;
@@ -454,7 +449,7 @@
         boolean isIdle() {
             double fullUs = plan.rate() > 0 ? plan.burst() / plan.rate() * 1e6 : 0;
             return pending.isEmpty() && open == 0 && now() - lastUsedUs > Math.max(LEAST_KEPT_US, 2 * fullUs)
-                    && (bucket < 0 || bucketNow(1) >= Math.max(1, plan.burst() / gateways));
+                    && (bucket < 0 || bucketNow(1) >= depth(1));
         }
 
         boolean openIsFull() {
@@ -495,12 +490,10 @@
         void ask(Rpc rpc) {
             uncountedPerCall += 0.1 * (uncounted - uncountedPerCall);
             uncounted = 0;
-            double weight = rpc.units * (isPaced() ? Math.min(MOST_WEIGHT, 1 + uncountedPerCall) : 1);
-            Count count = add((now() + stagger(key)) / EPOCH_US << CUSTOMER_BITS | key, weight + owed);
+            rpc.weight = rpc.units * (isPaced() ? Math.min(MOST_WEIGHT, 1 + uncountedPerCall) : 1);
+            Count count = add((now() + stagger(key)) / EPOCH_US << CUSTOMER_BITS | key, rpc.weight + owed);
             owed = 0;
-            count.weight = weight;
             count.rpc = rpc;
-            rpc.weight = weight;
             at(now() + timeOutUs(), () -> silence(count));
         }
 
@@ -518,20 +511,10 @@
             return count;
         }
 
-        /** A negative add; while the counter is paced it rides on the next call. */
-        void giveBack(long name, double units) {
-            add(name, -units);
-        }
-
         Count nextOf(long name) {
-            for (Iterator<Count> all = pending.iterator(); all.hasNext(); ) {
-                Count count = all.next();
-                if (count.name == name) {
-                    all.remove();
-                    return count;
-                }
-            }
-            return null;
+            Count next = pending.stream().filter(c -> c.name == name).findFirst().orElse(null);
+            pending.remove(next);
+            return next;
         }
 
         void answered(Count count, double total) {
@@ -560,8 +543,8 @@
             if (!isPaced()) bucket = -1;
             if (rpc.stage != Stage.COUNTING) { // answered late, decided by the leaky bucket meanwhile
                 if (!rpc.admitted) {
-                    giveBack(count.name, count.weight);
-                    room += count.weight;
+                    add(count.name, -rpc.weight);
+                    room += count.rpc.weight;
                 }
                 know(room);
             } else if (room >= 0) {
@@ -570,11 +553,11 @@
                 advance(rpc);
             } else {
                 long waitUs = (long) (-room / plan.rate() * 1e6);
-                room += count.weight;
+                room += count.rpc.weight;
                 if (isPaced()) {
                     readBeyond(count, room);
                 } else {
-                    giveBack(count.name, count.weight);
+                    add(count.name, -rpc.weight);
                     beyondUntilUs = now() + waitUs;
                 }
                 know(room);
@@ -592,7 +575,7 @@
         void readBeyond(Count count, double room) {
             double forUs = Math.max(SLICED_US, -room / plan.rate() * 1e6);
             double sliced = plan.rate() * forUs / 1e6;
-            add(count.name, (settings.mayTell() ? Math.max(0, sliced + room) : sliced / gateways) - count.weight);
+            add(count.name, (settings.mayTell() ? Math.max(0, sliced + room) : sliced / gateways) - count.rpc.weight);
             for (int i = 0; settings.mayTell() && i < gateways; i++) {
                 int gateway = (first + i) % settings.gateways();
                 if (gateway != settings.ordinal()) {
@@ -605,7 +588,7 @@
         /** As if the slice had long been in use: its credit is anything up to one RPC. */
         void startSlice() {
             if (bucket < 0 || now() - bucketAtUs > 5 * SLICED_US) {
-                bucket = random.nextDouble() * Math.max(1, plan.burst() / gateways);
+                bucket = random.nextDouble() * depth(1);
                 bucketAtUs = now();
             }
         }
@@ -617,8 +600,11 @@
             return plan.ceilingRate() > 0 ? Math.max(0, Math.min(plan.burst(), spare)) : plan.burst();
         }
 
+        /** A slice below one RPC would let in none. */
+        double depth(double units) { return Math.max(units, plan.burst() / gateways); }
+
         double bucketNow(double units) {
-            double depth = Math.max(units, plan.burst() / gateways); // a slice below one RPC would let in none
+            double depth = depth(units);
             if (bucket >= 0) {
                 return Math.min(depth, bucket + plan.rate() / gateways * (now() - bucketAtUs) / 1e6);
             }
@@ -663,7 +649,6 @@
         double amount;
         long sentUs;
         Rpc rpc;          // that waits for it, if any
-        double weight;    // the units that it stands for
         double excess;    // that it adds back, and the room that should be left then
         double roomAfter;
         boolean settled;  // answered, or silent past the time-out
