--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -254,7 +254,7 @@
      * answers in good time add places while all are in use; a late answer, or none, takes some away.
      */
     private void judge(double partOfSoftDl) {
-        if (partOfSoftDl > SHRINK_ABOVE) {
+        if (partOfSoftDl > SHRINK_ABOVE && placesTaken() + 1 >= places / 2) {
             places = Math.max(1, places - Math.max(SHRINK_BY, places / 100));
         } else if (partOfSoftDl < GROW_BELOW && placesTaken() + 1 >= (int) places) {
             places = Math.min(MOST_PLACES * backends.size(), places + GROW_BY);
