Where two call-outs at once are forbidden, cancel none for another unless its backend is ejected

Cause: with many gateways each hears so seldom from a backend that every long RPC looked like a hang; it was cancelled at 70% of its soft deadline, and what was tried elsewhere was as long there and had no time left. Harm: the first RPCs on a hung backend are lost until a second one is overdue.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -304,7 +304,8 @@
         if (!rpc.isDone() && (mute || backend.slowness > 2 || !backend.usable()) && rpc.outCount() == 1) {
             if (settings.secondCopies()) {
                 sendFurther(rpc, true);
-            } else if (settings.mayCancel() && rpc.mayRepeat() && !rpc.callOutsSpent() && repeats >= 1) {
+            } else if (!backend.usable() && settings.mayCancel() && rpc.mayRepeat() && !rpc.callOutsSpent()
+                    && repeats >= 1) { // elsewhere a long RPC is long too: only away from an ejected backend
                 host.cancelCallOut(rpc.id, callOut.number);
             }
         }
