A second copy only away from an ejected or slow backend

Cause: as for cancels, with many gateways every long RPC looked like a hang, and its copy was as long.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -301,13 +301,13 @@
         Backend backend = callOut.backend;
         boolean mute = backend.lastAnswerUs < callOut.sentUs;
         if (mute && ++backend.suspicions >= 2) backend.eject();
-        if (!rpc.isDone() && (mute || backend.slowness > 2 || !backend.usable()) && rpc.outCount() == 1) {
-            if (settings.secondCopies()) {
-                sendFurther(rpc, true);
-            } else if (!backend.usable() && settings.mayCancel() && rpc.mayRepeat() && !rpc.callOutsSpent()
-                    && repeats >= 1) { // elsewhere a long RPC is long too: only away from an ejected backend
-                host.cancelCallOut(rpc.id, callOut.number);
-            }
+        boolean astray = !backend.usable() || backend.slowness > 2; // elsewhere a long RPC is long too
+        if (!astray || rpc.isDone() || rpc.outCount() != 1) return;
+        if (settings.secondCopies()) {
+            sendFurther(rpc, true);
+        } else if (!backend.usable() && settings.mayCancel() && rpc.mayRepeat() && !rpc.callOutsSpent()
+                && repeats >= 1) {
+            host.cancelCallOut(rpc.id, callOut.number);
         }
     }
 
