--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -301,12 +301,11 @@
         Backend backend = callOut.backend;
         boolean mute = backend.lastAnswerUs < callOut.sentUs;
         if (mute && ++backend.suspicions >= 2) backend.eject();
-        boolean astray = !backend.usable() || backend.slowness > 2; // elsewhere a long RPC is long too
-        if (!astray || rpc.isDone() || rpc.outCount() != 1) return;
+        // Only away from an ejected backend: elsewhere a long RPC is long too.
+        if (backend.usable() || rpc.isDone() || rpc.outCount() != 1) return;
         if (settings.secondCopies()) {
             sendFurther(rpc, true);
-        } else if (!backend.usable() && settings.mayCancel() && rpc.mayRepeat() && !rpc.callOutsSpent()
-                && repeats >= 1) {
+        } else if (settings.mayCancel() && rpc.mayRepeat() && !rpc.callOutsSpent() && repeats >= 1) {
             host.cancelCallOut(rpc.id, callOut.number);
         }
     }
