--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -52,7 +52,7 @@
     private static final long LAST_EJECT_US = 8_000_000;
     private static final double REPEATS_PER_RPC = 0.1;
     private static final double MOST_REPEATS = 15;
-    private static final double COLD_MARGIN = 0.7;
+    private static final double COLD_MARGIN = 0.5;
     private static final long AGE_NOISE_US = 20_000;   // two first tries differ by less, on their way here
     private static final double TAKEN_OVER_US = 3e6;
     private static final long SWEEP_US = 2_000_000;
