--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -50,6 +51,7 @@
     // Health.
     private static final long FIRST_EJECT_US = 1_000_000;
     private static final long LAST_EJECT_US = 8_000_000;
+    private static final double SLOW_FULL = 0.05;      // of the soft deadline: a full backend says so sooner
     private static final double REPEATS_PER_RPC = 0.1;
     private static final double MOST_REPEATS = 15;
     private static final double COLD_MARGIN = 0.5;
@@ -266,7 +268,8 @@
         double bestScore = Double.MAX_VALUE;
         for (Backend b : backends.values()) {
             if (!rpc.mayGoTo(b) || rpc.isOutAt(b) || !b.hasPlace(rpc.row)) continue;
-            double score = b.score() * (1 + 0.02 * random.nextDouble()) * (rpc.tried(b) ? 1000 : 1);
+            boolean lastChoice = rpc.tried(b) || now() < b.shunsUntilUs.getOrDefault(rpc.customer.plan, NEVER);
+            double score = b.score() * (1 + 0.02 * random.nextDouble()) * (lastChoice ? 1000 : 1);
             if (score < bestScore) {
                 bestScore = score;
                 best = b;
@@ -605,12 +608,13 @@
 
         double bucketNow(double units) {
             double depth = depth(units);
-            if (bucket >= 0) {
-                return Math.min(depth, bucket + plan.rate() / gateways * (now() - bucketAtUs) / 1e6);
+            if (bucket < 0) { // full as the credit known, or in part of the cases
+                double sinceStart = plan.rate() * (now() - startedUs) / 1e6 / plan.burst();
+                bucket = depth * (creditAtUs != NEVER ? Math.max(0, Math.min(1, creditNow() / plan.burst()))
+                        : random.nextDouble() < Math.max(AT_START, sinceStart) ? 1 : 0);
+                bucketAtUs = now();
             }
-            if (creditAtUs != NEVER) return depth * Math.max(0, Math.min(1, creditNow() / plan.burst()));
-            double sinceStart = plan.rate() * (now() - startedUs) / 1e6 / plan.burst();
-            return random.nextDouble() < Math.max(AT_START, sinceStart) ? depth : 0; // full in part of the cases
+            return Math.min(depth, bucket + plan.rate() / gateways * (now() - bucketAtUs) / 1e6);
         }
 
         /**
@@ -664,7 +668,6 @@
         double taken;               // work answered here of late, in cores
         long takenAtUs;
         int out;
-        double limit = Math.max(1, 2 * FIRST_PLACES / settings.gateways());
         double slowness = 1;        // its answers' time against its peers'
         long slownessAtUs = now();
         double errors;              // share of late call-outs that ended in an error
@@ -674,6 +677,7 @@
         long ejectedUntilUs = NEVER;
         long ejectUs = FIRST_EJECT_US;
         boolean onTrial;
+        final Map<Plan, Long> shunsUntilUs = new HashMap<>(2); // a plan each
         double queue;
         long queueAtUs = NEVER;
         final Deque<long[]> sentWhileCold = new ArrayDeque<>(); // emptied as its window passes
@@ -686,15 +690,22 @@
 
         boolean usable() { return ready && now() >= ejectedUntilUs; }
 
+        /** Its fair share of the gateway's places twice over; less where it is slow or faulty. */
         boolean hasPlace(Row row) {
-            return usable() && out < (onTrial ? 1 : Math.max(1, (int) limit)) && coldAllows(row);
+            double share = (1 + 2 * places / backends.size()) / ill();
+            return usable() && out < (onTrial ? 1 : Math.max(1, (int) share)) && coldAllows(row);
         }
 
-        double score() {
+        /** How slow and faulty it has been of late: 1 is as good as its peers. */
+        double ill() {
             double idleS = (now() - slownessAtUs) / 1e6;
             double slow = 1 + (slowness - 1) * Math.pow(0.5, idleS / 5);
+            return slow / Math.pow(1 - Math.min(0.9, errors), 2);
+        }
+
+        double score() {
             double waiting = now() - queueAtUs < 1_000_000 ? queue / 2 : 0;
-            return (out + 1 + waiting) * slow / Math.pow(1 - Math.min(0.9, errors), 2);
+            return (out + 1 + waiting) * ill();
         }
 
         /** This gateway's share of what a backend just started can take, counted as work in a window. */
@@ -752,7 +763,6 @@
             ejectUs = Math.min(LAST_EJECT_US, ejectUs * 2);
             onTrial = true;
             suspicions = 1;
-            limit = 1;
             at(ejectedUntilUs, Policy.this::pump);
         }
 
@@ -767,17 +777,11 @@
             if (!onTrial && errors < 0.05 && slowness < 1.5) ejectUs = FIRST_EJECT_US;
             compare(row, tookUs);
             double part = (double) tookUs / row.method.softDeadlineUs();
-            if (part > SHRINK_ABOVE) {
-                limit = Math.max(1, limit * 0.9);
-            } else if (part < GROW_BELOW && out + 1 >= (int) limit) {
-                limit = Math.min(MOST_PLACES, limit + 0.1 / limit);
-            }
             judge(part);
         }
 
         /** An answer that nobody could wait for says as much as a late one: places are too many. */
         void tookTooLong(Row row, long soFarUs) {
-            limit = Math.max(1, limit * 0.9);
             if (soFarUs > row.meanUs) {
                 judge(1);
                 row.learn(soFarUs);
@@ -790,11 +794,24 @@
             slownessAtUs = now();
         }
 
+        /**
+         * Guards against a backend that turns one plan away though it has room: one that is full says so at
+         * once. Harm: a backend that is full and slow to say so keeps its places.
+         */
+        void full(Row row, Plan plan, long tookUs) {
+            if (tookUs < SLOW_FULL * row.method.softDeadlineUs()) {
+                judge(1);
+                failing(true);
+            } else {
+                lastAnswerUs = now();
+                shunsUntilUs.put(plan, now() + LAST_EJECT_US);
+            }
+        }
+
         /** Fast failures look like free places: errors take places away, and many in a row eject. */
         void failing(boolean answered) {
             if (answered) lastAnswerUs = now();
             errors += 0.15 * (1 - errors);
-            limit = Math.max(1, limit * 0.8);
             if (++errorsInARow >= 3 || errors > 0.5 || onTrial) eject();
         }
 
@@ -918,7 +935,8 @@
                     row.learn(tookUs);
                     backend.answered(row, tookUs);
                 }
-                case ERROR, FULL -> backend.failing(true);
+                case FULL -> backend.full(row, customer.plan, tookUs);
+                case ERROR -> backend.failing(true);
                 case CONNECT_FAILED, RESET -> backend.failing(false);
                 case TIMED_OUT -> backend.tookTooLong(row, tookUs);
                 default -> { }
