A backend slow to say full is shunned for that plan alone; buckets keep the lot drawn for them

Cause: a backend with room turned one plan away after 11 to 28% of the soft deadline; its places shrank for all and it was ejected. A backend that is full says so at once. Harm: one full and slow to say so keeps its places.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -32,19 +32,19 @@
     private static final long EPOCH_US = 60_000_000;
     private static final int CUSTOMER_BITS = 33;
     private static final long LEAST_TIME_OUT_US = 5_000;
-    private static final double LEAST_PACE = 60;       // calls a second of all gateways, to try a dead counter
+    private static final double LEAST_PACE = 60;       // calls a second, by all gateways, to a dead counter
     private static final double PACE_DROP = 0.85;      // for a call lost
-    private static final double PACE_GAIN = 0.03;      // for a call answered, and as much for each second so far
+    private static final double PACE_GAIN = 0.03;      // for a call answered, times the seconds without loss
     private static final long OUTAGE_US = 1_000_000;   // of silence: what was spent before is refilled
     private static final long LEAST_KEPT_US = 5_000_000;
     private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
     private static final double AT_START = 0.75;       // buckets that a gateway just started takes as full
-    private static final long SLICED_US = 2_000_000;   // how long a customer read beyond is kept to its slices
+    private static final long SLICED_US = 2_000_000;   // how long a customer beyond is kept to its slices
     private static final double MOST_WEIGHT = 4;       // RPCs that one call may stand for
     // The line and the places.
     private static final double FIRST_PLACES = 6;      // at a backend, of all gateways together
     private static final double MOST_PLACES = 64;      // at a backend, of one gateway
-    private static final double GROW_BY = 0.1;         // places for an answer in good time, while all are in use
+    private static final double GROW_BY = 0.1;         // places for an answer in good time, if all are used
     private static final double SHRINK_BY = 0.3;       // for an answer that came late or not at all
     private static final double GROW_BELOW = 0.25;     // of the soft deadline: a place more is harmless
     private static final double SHRINK_ABOVE = 0.5;    // of the soft deadline: places are too many
@@ -195,7 +195,7 @@
                 finish(rpc, customer.returnIn(Math.max(waitUs, 0), rpc.units));
                 return;
             }
-            boolean bucketFirst = now() < slicedUntilUs.getOrDefault(customer.key, NEVER) // read beyond somewhere
+            boolean bucketFirst = now() < slicedUntilUs.getOrDefault(customer.key, NEVER) // told
                     || isPaced() && allowance < 2 && customer.bucketNow(rpc.units) >= rpc.units;
             // 2. Ask: one call on the customer's count adds the units; its answer comes to answered().
             if (plan.rate() <= 0) {
@@ -223,7 +223,7 @@
 
     /** Gives free places to the line, the RPC that must start soonest first. */
     private void pump() {
-        List<Rpc> bound = null;
+        List<Rpc> bound = new ArrayList<>(0);
         while (!line.isEmpty()) {
             Rpc rpc = line.peek();
             if (rpc.callOuts.isEmpty() && rpc.isTooLate()) {
@@ -232,16 +232,15 @@
                 continue;
             }
             Backend backend = placesTaken() >= (int) places ? null : pick(rpc);
-            if (backend == null && !rpc.isBound()) break;
+            if (backend == null && rpc.callOuts.isEmpty()) break; // a repeat may be bound; the line goes on
             line.poll();
             if (backend != null) {
                 send(rpc, backend);
             } else {
-                bound = bound == null ? new ArrayList<>() : bound;
                 bound.add(rpc);
             }
         }
-        if (bound != null) line.addAll(bound);
+        line.addAll(bound);
     }
 
     /** Places of the gateway in all: of many gateways each has far less than one a backend. */
@@ -252,7 +251,7 @@
     }
 
     /**
-     * Guards against queues that the gateways build together (overload, crawl, work nobody waits for any more):
+     * Guards against queues that the gateways build together (overload, crawl, work nobody waits for):
      * answers in good time add places while all are in use; a late answer, or none, takes some away.
      */
     private void judge(double partOfSoftDl) {
@@ -268,8 +267,8 @@
         double bestScore = Double.MAX_VALUE;
         for (Backend b : backends.values()) {
             if (!rpc.mayGoTo(b) || rpc.isOutAt(b) || !b.hasPlace(rpc.row)) continue;
-            boolean lastChoice = rpc.tried(b) || now() < b.shunsUntilUs.getOrDefault(rpc.customer.plan, NEVER);
-            double score = b.score() * (1 + 0.02 * random.nextDouble()) * (lastChoice ? 1000 : 1);
+            boolean last = rpc.tried(b) || now() < b.shunsUntilUs.getOrDefault(rpc.customer.plan, NEVER);
+            double score = b.score() * (1 + 0.02 * random.nextDouble()) * (last ? 1000 : 1);
             if (score < bestScore) {
                 bestScore = score;
                 best = b;
@@ -308,17 +307,15 @@
         if (backend.usable() || rpc.isDone() || rpc.outCount() != 1) return;
         if (settings.secondCopies()) {
             sendFurther(rpc, true);
-        } else if (settings.mayCancel() && rpc.mayRepeat() && !rpc.callOutsSpent() && repeats >= 1) {
+        } else if (settings.mayCancel() && rpc.mayRepeat() && repeats >= 1) {
             host.cancelCallOut(rpc.id, callOut.number);
         }
     }
 
     /** Puts an RPC in line again, if its method, its call-outs, its time and the budget allow one more. */
     private boolean sendFurther(Rpc rpc, boolean mayHaveRun) {
-        if (rpc.callOutsSpent() || !rpc.mayRepeat()
-                || rpc.softDlUs <= now() && rpc.row.method.lateUtility() <= 0 || mayHaveRun && repeats < 1) {
-            return false;
-        }
+        boolean pointless = rpc.softDlUs <= now() && rpc.row.method.lateUtility() <= 0;
+        if (!rpc.mayRepeat() || pointless || mayHaveRun && repeats < 1) return false;
         if (mayHaveRun) repeats -= 1;
         line.add(rpc);
         return true;
@@ -356,11 +353,9 @@
     }
 
     /**
-     * Guards a counter that is crowded, slow, refusing or dead, whatever the cause: a call lost lowers the pace
-     * of calls, answers raise it again, as TCP does; a dead counter is tried now and then. Ends by itself, when
-     * there are far fewer calls than the pace allows. While it acts, RPCs above the pace are decided by the
-     * leaky bucket; a call stands for those that it let in since the last, whatever their customer, so that the
-     * counts are right in the mean.
+     * Guards a counter that is crowded, slow, refusing or dead: a call lost lowers the pace of calls, answers
+     * raise it, as in TCP; it ends when calls are far fewer than it allows. Meanwhile the leaky bucket lets in
+     * what it can and calls go to what it would push back; each stands for those let in since the last.
      */
     private boolean isPaced() { return pace < Double.MAX_VALUE; }
 
@@ -373,7 +368,8 @@
     }
 
     private double callRate() {
-        return callRate * Math.exp((lastCallUs - now()) / 1e6) / (1 - Math.exp((startedUs - now() - 1) / 1e6));
+        double seen = 1 - Math.exp((startedUs - now() - 1) / 1e6); // of a full window, just after a start
+        return callRate * Math.exp((lastCallUs - now()) / 1e6) / seen;
     }
 
     private void paceUp(long tookUs) {
@@ -416,8 +412,6 @@
         }
     }
 
-    private boolean counterAnswers() { return now() - lastAnswerUs < OUTAGE_US; }
-
     private void sweep() {
         slicedUntilUs.values().removeIf(untilUs -> now() > untilUs + SLICED_US);
         customers.values().removeIf(Customer::isIdle);
@@ -545,25 +539,20 @@
             }
             if (!isPaced()) bucket = -1;
             if (rpc.stage != Stage.COUNTING) { // answered late, decided by the leaky bucket meanwhile
-                if (!rpc.admitted) {
-                    add(count.name, -rpc.weight);
-                    room += count.rpc.weight;
-                }
-                know(room);
+                if (!rpc.admitted) add(count.name, -rpc.weight);
+                know(room + (rpc.admitted ? 0 : rpc.weight));
             } else if (room >= 0) {
                 know(room);
                 rpc.admit();
-                advance(rpc);
             } else {
                 long waitUs = (long) (-room / plan.rate() * 1e6);
-                room += count.rpc.weight;
+                know(room + rpc.weight);
                 if (isPaced()) {
-                    readBeyond(count, room);
+                    readBeyond(count);
                 } else {
                     add(count.name, -rpc.weight);
                     beyondUntilUs = now() + waitUs;
                 }
-                know(room);
                 finish(rpc, returnIn(waitUs, rpc.units));
             }
             while (!waiting.isEmpty() && !awaitsVerdict(waiting.peek())) advance(waiting.poll());
@@ -575,10 +564,11 @@
         }
 
         /** While paced: its gateways are told, and the count gets what their slices will let in till then. */
-        void readBeyond(Count count, double room) {
-            double forUs = Math.max(SLICED_US, -room / plan.rate() * 1e6);
+        void readBeyond(Count count) {
+            double forUs = Math.max(SLICED_US, -credit / plan.rate() * 1e6);
             double sliced = plan.rate() * forUs / 1e6;
-            add(count.name, (settings.mayTell() ? Math.max(0, sliced + room) : sliced / gateways) - count.rpc.weight);
+            double ahead = settings.mayTell() ? Math.max(0, sliced + credit) : sliced / gateways;
+            add(count.name, ahead - count.rpc.weight);
             for (int i = 0; settings.mayTell() && i < gateways; i++) {
                 int gateway = (first + i) % settings.gateways();
                 if (gateway != settings.ordinal()) {
@@ -603,11 +593,10 @@
             return plan.ceilingRate() > 0 ? Math.max(0, Math.min(plan.burst(), spare)) : plan.burst();
         }
 
-        /** A slice below one RPC would let in none. */
         double depth(double units) { return Math.max(units, plan.burst() / gateways); }
 
         double bucketNow(double units) {
-            double depth = depth(units);
+            double depth = depth(units); // one RPC at least: a smaller slice would let in none
             if (bucket < 0) { // full as the credit known, or in part of the cases
                 double sinceStart = plan.rate() * (now() - startedUs) / 1e6 / plan.burst();
                 bucket = depth * (creditAtUs != NEVER ? Math.max(0, Math.min(1, creditNow() / plan.burst()))
@@ -635,10 +624,10 @@
             if (bucket >= rpc.units) {
                 bucket -= rpc.units;
                 credit -= rpc.units;
-                if (!counted && counterAnswers()) uncounted++;
-                owed += counted || counterAnswers() ? 0 : rpc.units;
+                boolean answers = now() - lastAnswerUs < OUTAGE_US;
+                if (!counted && answers) uncounted++;
+                owed += counted || answers ? 0 : rpc.units;
                 rpc.admit();
-                advance(rpc);
             } else {
                 double waitS = (rpc.units - bucket) / plan.rate() * gateways;
                 finish(rpc, returnIn((long) (waitS * 1e6), rpc.units));
@@ -668,6 +657,7 @@
         double taken;               // work answered here of late, in cores
         long takenAtUs;
         int out;
+        double limit = Math.max(1, 2 * FIRST_PLACES / settings.gateways());
         double slowness = 1;        // its answers' time against its peers'
         long slownessAtUs = now();
         double errors;              // share of late call-outs that ended in an error
@@ -690,22 +680,15 @@
 
         boolean usable() { return ready && now() >= ejectedUntilUs; }
 
-        /** Its fair share of the gateway's places twice over; less where it is slow or faulty. */
         boolean hasPlace(Row row) {
-            double share = (1 + 2 * places / backends.size()) / ill();
-            return usable() && out < (onTrial ? 1 : Math.max(1, (int) share)) && coldAllows(row);
+            return usable() && out < (onTrial ? 1 : Math.max(1, (int) limit)) && coldAllows(row);
         }
 
-        /** How slow and faulty it has been of late: 1 is as good as its peers. */
-        double ill() {
+        double score() {
             double idleS = (now() - slownessAtUs) / 1e6;
             double slow = 1 + (slowness - 1) * Math.pow(0.5, idleS / 5);
-            return slow / Math.pow(1 - Math.min(0.9, errors), 2);
-        }
-
-        double score() {
             double waiting = now() - queueAtUs < 1_000_000 ? queue / 2 : 0;
-            return (out + 1 + waiting) * ill();
+            return (out + 1 + waiting) * slow / Math.pow(1 - Math.min(0.9, errors), 2);
         }
 
         /** This gateway's share of what a backend just started can take, counted as work in a window. */
@@ -763,6 +746,7 @@
             ejectUs = Math.min(LAST_EJECT_US, ejectUs * 2);
             onTrial = true;
             suspicions = 1;
+            limit = 1;
             at(ejectedUntilUs, Policy.this::pump);
         }
 
@@ -777,11 +761,17 @@
             if (!onTrial && errors < 0.05 && slowness < 1.5) ejectUs = FIRST_EJECT_US;
             compare(row, tookUs);
             double part = (double) tookUs / row.method.softDeadlineUs();
+            if (part > SHRINK_ABOVE) {
+                limit = Math.max(1, limit * 0.9);
+            } else if (part < GROW_BELOW && out + 1 >= (int) limit) {
+                limit = Math.min(MOST_PLACES, limit + 0.1 / limit);
+            }
             judge(part);
         }
 
         /** An answer that nobody could wait for says as much as a late one: places are too many. */
         void tookTooLong(Row row, long soFarUs) {
+            limit = Math.max(1, limit * 0.9);
             if (soFarUs > row.meanUs) {
                 judge(1);
                 row.learn(soFarUs);
@@ -800,7 +790,6 @@
          */
         void full(Row row, Plan plan, long tookUs) {
             if (tookUs < SLOW_FULL * row.method.softDeadlineUs()) {
-                judge(1);
                 failing(true);
             } else {
                 lastAnswerUs = now();
@@ -812,6 +801,7 @@
         void failing(boolean answered) {
             if (answered) lastAnswerUs = now();
             errors += 0.15 * (1 - errors);
+            limit = Math.max(1, limit * 0.8);
             if (++errorsInARow >= 3 || errors > 0.5 || onTrial) eject();
         }
 
@@ -857,11 +847,8 @@
                 leftSeen[free] = leftUs;
                 mine = free;
             }
-            if (mine >= 0) {
-                leftCount[mine]++;
-            } else {
-                for (int i = 0; i < leftSeen.length; i++) leftCount[i]--;
-            }
+            if (mine >= 0) leftCount[mine]++;
+            for (int i = 0; i < leftSeen.length && mine < 0; i++) leftCount[i]--;
             boolean first = mine >= 0 && leftCount[mine] >= leftCount[common];
             return first ? 0 : Math.max(0, method.deadlineUs() - leftUs);
         }
@@ -947,7 +934,8 @@
             if (!isDone() && over) {
                 close();
             } else if (!isDone() && outCount() == 0 && !line.contains(this)
-                    && (outcome == Outcome.MOOT || outcome == Outcome.TIMED_OUT || streaming || !sendFurther(this, !callOut.neverRan))) {
+                    && (outcome == Outcome.MOOT || outcome == Outcome.TIMED_OUT || streaming
+                    || !sendFurther(this, !callOut.neverRan))) {
                 finish(this, 0);
             }
             pump();
@@ -957,11 +945,10 @@
         public void streamStarted(int number) { streaming = true; }
 
         public void clientLeft() {
-            if (!isDone()) {
-                close();
-                pump();
-                arm();
-            }
+            if (isDone()) return;
+            close();
+            pump();
+            arm();
         }
 
         /** True once nothing more will come of this RPC. */
@@ -972,6 +959,7 @@
         private void admit() {
             admitted = true;
             stage = Stage.LINE;
+            advance(this);
         }
 
         /** The RPC has its final answer; units that it took and never used go back. */
@@ -995,8 +983,6 @@
             return count;
         }
 
-        private boolean callOutsSpent() { return callOuts.size() >= settings.mostCallOuts(); }
-
         private CallOut firstThatMayHaveRun() {
             return callOuts.stream().filter(c -> !c.neverRan).findFirst().orElse(null);
         }
@@ -1011,12 +997,10 @@
         }
 
         private boolean mayRepeat() {
-            return firstThatMayHaveRun() == null || row.method.repeat() != Method.Repeat.NON_IDEMPOTENT;
+            return callOuts.size() < settings.mostCallOuts()
+                    && (firstThatMayHaveRun() == null || row.method.repeat() != Method.Repeat.NON_IDEMPOTENT);
         }
 
-        /** One that was sent before may be bound to some backends; the line goes on without it. */
-        private boolean isBound() { return !callOuts.isEmpty(); }
-
         private boolean mayGoTo(Backend b) {
             CallOut first = firstThatMayHaveRun();
             if (first == null || row.method.repeat() == Method.Repeat.IDEMPOTENT) return true;
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -246,4 +246,18 @@
         }
         assertThat(door.heard("call-out")).as("12 first places less 0.3 for each").hasSizeBetween(8, 9);
     }
+
+    @Test
+    void aBackendSlowToSayFullIsShunnedForThatPlanAndKeepsItsPlaces() {
+        door.start(2);
+        Policy.Rpc rpc = door.takeInQuota();
+        String first = door.heard("call-out 1 ").get(0).replaceAll(".* to ", " to ");
+        door.end(rpc, 0, Outcome.FULL, 400_000);
+        door.end(rpc, 1, Outcome.OK, 50_000);
+        door.asked.clear();
+        for (int i = 0; i < 4; i++) {
+            door.takeInQuota();
+        }
+        assertThat(door.heard("call-out")).hasSize(4).noneMatch(a -> a.endsWith(first));
+    }
 }
