--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -354,7 +354,7 @@
 
     /**
      * Guards a counter that is crowded, slow, refusing or dead: a call lost lowers the pace of calls, answers
-     * raise it, as in TCP; it ends when calls are far fewer than it allows. Meanwhile the leaky bucket lets in
+     * raise it, as in TCP; it ends when calls are far fewer than it allows. Meanwhile the bucket lets in
      * what it can and calls go to what it would push back; each stands for those let in since the last.
      */
     private boolean isPaced() { return pace < Double.MAX_VALUE; }
