Places are rounded, two at least a gateway

Cause: at many gateways a bound of 1.9 let out one RPC at a time, and work waited in line before idle backends.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -173,7 +173,7 @@
         }
         backends.values().removeIf(b -> !b.ready);
         double perBackend = before == 0 ? FIRST_PLACES / settings.gateways() : places / before;
-        places = Math.max(1, perBackend * backends.size()); // a fleet half as large bears half as much
+        places = Math.max(2, perBackend * backends.size()); // a fleet half as large bears half as much
         pump();
         arm();
     }
@@ -231,7 +231,7 @@
                 finish(rpc, 0); // it cannot meet its soft deadline any more: back while that is harmless
                 continue;
             }
-            Backend backend = placesTaken() >= (int) places ? null : pick(rpc);
+            Backend backend = placesTaken() >= Math.round(places) ? null : pick(rpc);
             if (backend == null && rpc.callOuts.isEmpty()) break; // a repeat may be bound; the line goes on
             line.poll();
             if (backend != null) {
@@ -256,8 +256,8 @@
      */
     private void judge(double partOfSoftDl) {
         if (partOfSoftDl > SHRINK_ABOVE && placesTaken() + 1 >= places / 2) {
-            places = Math.max(1, places - Math.max(SHRINK_BY, places / 100));
-        } else if (partOfSoftDl < GROW_BELOW && placesTaken() + 1 >= (int) places) {
+            places = Math.max(2, places - Math.max(SHRINK_BY, places / 100));
+        } else if (partOfSoftDl < GROW_BELOW && placesTaken() + 1 >= Math.round(places)) {
             places = Math.min(MOST_PLACES * backends.size(), places + GROW_BY);
         }
     }
