--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -40,6 +40,7 @@
     private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
     private static final double AT_START = 0.75;       // buckets that a gateway just started takes as full
     private static final long SLICED_US = 2_000_000;   // how long a customer beyond is kept to its slices
+    private static final double MOST_UNUSED = 0.6;     // of the rate, by even slices where gateways are many
     private static final double MOST_WEIGHT = 4;       // RPCs that one call may stand for
     // The line and the places.
     private static final double FIRST_PLACES = 6;      // at a backend, of all gateways together
@@ -406,9 +407,12 @@
      * reading serves all. The customer's gateways keep it to their slices, which together are its rate, and
      * the reader has added what they will let in.
      */
-    private void slice(long customer, long untilUs) {
-        if (slicedUntilUs.merge(customer, untilUs, Math::max) == untilUs && customers.containsKey(customer)) {
-            customers.get(customer).startSlice();
+    private void slice(long key, long untilUs) {
+        slicedUntilUs.merge(key, untilUs, Math::max);
+        Customer c = customers.get(key);
+        if (c != null && (c.bucket < 0 || now() - c.bucketAtUs > 5 * SLICED_US)) {
+            c.bucket = random.nextDouble() * c.depth(1); // as if the slice had long been in use
+            c.bucketAtUs = now();
         }
     }
 
@@ -479,11 +483,6 @@
             return soonestUs - now();
         }
 
-        double roomAt(long name, double total) {
-            long sinceUs = now() + stagger(key) - (name >>> CUSTOMER_BITS) * EPOCH_US;
-            return plan.burst() + plan.rate() * sinceUs / 1e6 - total;
-        }
-
         void ask(Rpc rpc) {
             uncountedPerCall += 0.1 * (uncounted - uncountedPerCall);
             uncounted = 0;
@@ -516,7 +515,8 @@
 
         void answered(Count count, double total) {
             Rpc rpc = count.rpc;
-            double room = roomAt(count.name, total);
+            long epochAgeUs = now() + stagger(key) - (count.name >>> CUSTOMER_BITS) * EPOCH_US;
+            double room = plan.burst() + plan.rate() * epochAgeUs / 1e6 - total;
             if (rpc == null) {
                 // Two gateways may have seen the same excess: the one whose add came second takes it back.
                 if (count.excess >= 2 && count.roomAfter - room >= 0.9 * count.excess) {
@@ -578,14 +578,6 @@
             slice(key, now() + (long) forUs);
         }
 
-        /** As if the slice had long been in use: its credit is anything up to one RPC. */
-        void startSlice() {
-            if (bucket < 0 || now() - bucketAtUs > 5 * SLICED_US) {
-                bucket = random.nextDouble() * depth(1);
-                bucketAtUs = now();
-            }
-        }
-
         /** What the store holds by this gateway's memory; a ceiling may not be staked on an unknown past. */
         double rememberedCredit() {
             if (creditAtUs != NEVER) return creditNow();
@@ -595,6 +587,13 @@
 
         double depth(double units) { return Math.max(units, plan.burst() / gateways); }
 
+        /** Its share of the rate, and of what the more gateways with less of the traffic leave unused. */
+        double sliceRate() {
+            double gain = 1 + MOST_UNUSED * Math.max(0, 1 - 2.0 / gateways);
+            double most = plan.ceilingRate() > 0 ? Math.max(1, plan.ceilingRate() / plan.rate() - 0.5) : gain;
+            return Math.min(gain, most) * plan.rate() / gateways;
+        }
+
         double bucketNow(double units) {
             double depth = depth(units); // one RPC at least: a smaller slice would let in none
             if (bucket < 0) { // full as the credit known, or in part of the cases
@@ -603,7 +602,7 @@
                         : random.nextDouble() < Math.max(AT_START, sinceStart) ? 1 : 0);
                 bucketAtUs = now();
             }
-            return Math.min(depth, bucket + plan.rate() / gateways * (now() - bucketAtUs) / 1e6);
+            return Math.min(depth, bucket + sliceRate() * (now() - bucketAtUs) / 1e6);
         }
 
         /**
@@ -629,8 +628,7 @@
                 owed += counted || answers ? 0 : rpc.units;
                 rpc.admit();
             } else {
-                double waitS = (rpc.units - bucket) / plan.rate() * gateways;
-                finish(rpc, returnIn((long) (waitS * 1e6), rpc.units));
+                finish(rpc, returnIn((long) ((rpc.units - bucket) / sliceRate() * 1e6), rpc.units));
             }
         }
     }
