--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -590,7 +590,7 @@
         /** Its share of the rate, and of what the more gateways with less of the traffic leave unused. */
         double sliceRate() {
             double gain = 1 + MOST_UNUSED * Math.max(0, 1 - 2.0 / gateways);
-            double most = plan.ceilingRate() > 0 ? Math.max(1, plan.ceilingRate() / plan.rate() - 0.5) : gain;
+            double most = plan.ceilingRate() > 0 ? plan.ceilingRate() / plan.rate() - 1 : gain;
             return Math.min(gain, most) * plan.rate() / gateways;
         }
 
