--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -39,6 +39,7 @@
     private static final long LEAST_KEPT_US = 5_000_000;
     private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
     private static final double AT_START = 0.75;       // buckets that a gateway just started takes as full
+    private static final double AT_ONCE = 6;           // bursts that all of a customer's gateways may hold so
     private static final long SLICED_US = 2_000_000;   // how long a customer beyond is kept to its slices
     private static final double MOST_UNUSED = 0.6;     // of the rate, by even slices where gateways are many
     private static final double MOST_WEIGHT = 4;       // RPCs that one call may stand for
@@ -596,10 +597,11 @@
 
         double bucketNow(double units) {
             double depth = depth(units); // one RPC at least: a smaller slice would let in none
-            if (bucket < 0) { // full as the credit known, or in part of the cases
+            if (bucket < 0) { // full as the credit known, or in part of the cases; in fewer the more gateways
                 double sinceStart = plan.rate() * (now() - startedUs) / 1e6 / plan.burst();
+                double full = Math.max(AT_START, sinceStart) * Math.min(1, AT_ONCE * plan.burst() / gateways);
                 bucket = depth * (creditAtUs != NEVER ? Math.max(0, Math.min(1, creditNow() / plan.burst()))
-                        : random.nextDouble() < Math.max(AT_START, sinceStart) ? 1 : 0);
+                        : random.nextDouble() < full ? 1 : 0);
                 bucketAtUs = now();
             }
             return Math.min(depth, bucket + sliceRate() * (now() - bucketAtUs) / 1e6);
