--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -41,6 +41,7 @@
     private static final double AT_START = 0.75;       // buckets that a gateway just started takes as full
     private static final double AT_ONCE = 6;           // bursts that all of a customer's gateways may hold so
     private static final long SLICED_US = 2_000_000;   // how long a customer beyond is kept to its slices
+    private static final int TOLD_BYTES = 12;          // of a message: the customer, and how long
     private static final double MOST_UNUSED = 0.6;     // of the rate, by even slices where gateways are many
     private static final double MOST_WEIGHT = 4;       // RPCs that one call may stand for
     // The line and the places.
@@ -153,6 +154,7 @@
 
     /** Another gateway has read a customer beyond its quota: until then it is kept to its slices here too. */
     public void heard(byte[] message) {
+        if (message.length != TOLD_BYTES) return; // not of this kind
         ByteBuffer said = ByteBuffer.wrap(message);
         slice(said.getLong(), now() + said.getInt());
     }
@@ -573,7 +575,8 @@
             for (int i = 0; settings.mayTell() && i < gateways; i++) {
                 int gateway = (first + i) % settings.gateways();
                 if (gateway != settings.ordinal()) {
-                    host.tell(gateway, ByteBuffer.allocate(12).putLong(key).putInt((int) forUs).array());
+                    ByteBuffer told = ByteBuffer.allocate(TOLD_BYTES).putLong(key).putInt((int) forUs);
+                    host.tell(gateway, told.array());
                 }
             }
             slice(key, now() + (long) forUs);
@@ -843,10 +846,7 @@
                 mine = leftCount[i] > 0 && Math.abs(leftSeen[i] - leftUs) < AGE_NOISE_US ? i : mine;
                 free = leftCount[i] == 0 ? i : free;
             }
-            if (mine < 0 && free >= 0) {
-                leftSeen[free] = leftUs;
-                mine = free;
-            }
+            if (mine < 0 && free >= 0) leftSeen[mine = free] = leftUs;
             if (mine >= 0) leftCount[mine]++;
             for (int i = 0; i < leftSeen.length && mine < 0; i++) leftCount[i]--;
             boolean first = mine >= 0 && leftCount[mine] >= leftCount[common];
--- a/src/test/java/hopdrum/policy/RulesStoryTest.java
+++ b/src/test/java/hopdrum/policy/RulesStoryTest.java
@@ -6,6 +6,7 @@
 import hopdrum.host.Method;
 import hopdrum.host.Outcome;
 import hopdrum.host.Plan;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class RulesStoryTest {
@@ -144,4 +145,18 @@
         assertThat(door.heard("call-out 1 ")).hasSize(1);
         assertThat(door.heard("push back")).isEmpty();
     }
+
+    @Test
+    void oddListsSetsAndMessagesAreBorne() {
+        door.start(2);
+        door.policy.listed(Listed.Form.WHOLE, List.of()); // empty
+        door.takeInQuota();
+        door.list(1, Listed.State.READY, 0);
+        door.list(1, Listed.State.READY, 0); // twice
+        door.policy.heard(new byte[3]);
+        assertThat(door.heard("call-out 1 ")).hasSize(1);
+        door.policy.take(50, 0, 12, 0, 1, 1, 9, 7_500_000); // more gateways in its set than there are
+        door.policy.counted(door.lastName(), Outcome.OK, 1, 1_000);
+        assertThat(door.heard("call-out 50 ")).hasSize(1);
+    }
 }
