--- a/src/main/java/hopdrum/benchlink/Instance.java
+++ b/src/main/java/hopdrum/benchlink/Instance.java
@@ -3,6 +3,7 @@
 import hopdrum.host.Host;
 import hopdrum.host.Listed;
 import hopdrum.host.Outcome;
+import hopdrum.host.SettingsReader;
 import hopdrum.policy.Policy;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
@@ -54,7 +55,14 @@
     private void attach(ByteBuffer in) {
         long seed = in.getLong();
         byte[] text = bytes(in, in.getInt() & 0xffffffffL);
-        policy = new Policy(SettingsReader.read(new String(text, StandardCharsets.UTF_8)), seed, this);
+        Map<String, String> pairs = new HashMap<>();
+        for (String line : new String(text, StandardCharsets.UTF_8).split("\n")) {
+            int eq = line.indexOf('=');
+            if (eq > 0) {
+                pairs.put(line.substring(0, eq), line.substring(eq + 1).strip());
+            }
+        }
+        policy = new Policy(SettingsReader.read(pairs), seed, this);
     }
 
     private void inbound(ByteBuffer in) {
--- /dev/null
+++ b/src/main/java/hopdrum/frontdoor/Clients.java
@@ -0,0 +1,186 @@
+package hopdrum.frontdoor;
+
+import hopdrum.frontdoor.lifecycle.Log;
+import hopdrum.frontdoor.lifecycle.Loop;
+import hopdrum.frontdoor.memory.Budget;
+import hopdrum.frontdoor.memory.ClientConnection;
+import hopdrum.frontdoor.wire.BadMessage;
+import hopdrum.frontdoor.wire.RpcHead;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** The listening socket and the connections that clients opened. */
+final class Clients implements Loop.Ready, ClientConnection.Owner {
+    private static final Log LOG = new Log("clients");
+    private static final int BACKLOG = 1024;
+    private static final long PAUSE_US = 50_000;
+
+    /** Who takes RPCs. */
+    interface Owner {
+        void take(ClientConnection client) throws BadMessage;
+
+        void left(ClientConnection client);
+
+        boolean isReady();
+    }
+
+    private final Loop loop;
+    private final Budget budget;
+    private final Owner owner;
+    private final ServerSocketChannel listener;
+    private final SelectionKey key;
+    private final Set<ClientConnection> open = new LinkedHashSet<>();  // one goes as it is closed
+    private final Set<ClientConnection> idle = new LinkedHashSet<>();  // longest idle first; the same
+    private boolean paused;
+    private boolean stopping;
+
+    Clients(Loop loop, SocketAddress listen, Budget budget, Owner owner) throws IOException {
+        this.loop = loop;
+        this.budget = budget;
+        this.owner = owner;
+        listener = ServerSocketChannel.open();
+        try {
+            listener.configureBlocking(false);
+            listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            listener.bind(listen, BACKLOG);
+            key = listener.register(loop.selector(), SelectionKey.OP_ACCEPT, this);
+        } catch (IOException | RuntimeException e) {
+            listener.close();
+            throw e;
+        }
+    }
+
+    SocketAddress address() throws IOException {
+        return listener.getLocalAddress();
+    }
+
+    @Override
+    public void ready(SelectionKey ready) throws IOException {
+        accept();
+    }
+
+    private void accept() throws IOException {
+        while (listener.isOpen()) {
+            if (!budget.clientFits()) {
+                shed();
+            }
+            if (!budget.clientFits()) {
+                pause("no descriptor or memory left for more clients");
+                return;
+            }
+            SocketChannel channel = listener.accept();
+            if (channel == null) {
+                return;
+            }
+            budget.client(1);
+            try {
+                open.add(new ClientConnection(loop, channel, budget, this));
+            } catch (IOException e) {
+                budget.client(-1);
+                LOG.warning("a client's connection ended at once", e.getMessage());
+            }
+        }
+    }
+
+    /** Clients that wait for nothing lose their connection first; one whose request crosses it sends it again. */
+    private void shed() {
+        Iterator<ClientConnection> longestIdle = idle.iterator();
+        if (longestIdle.hasNext()) {
+            LOG.info("an idle client's connection is closed to make room", null);
+            longestIdle.next().close();
+        }
+    }
+
+    private void pause(String why) {
+        LOG.warning("accepting pauses", why);
+        if (!paused && key.isValid()) {
+            paused = true;
+            key.interestOps(0); // guards against a loop that spins on a connection that it cannot take
+            loop.in(PAUSE_US, this::resume);
+        }
+    }
+
+    private void resume() {
+        if (paused && key.isValid()) {
+            paused = false;
+            key.interestOps(SelectionKey.OP_ACCEPT);
+        }
+    }
+
+    @Override
+    public void broken(Exception e) {
+        pause(e.getMessage());
+    }
+
+    @Override
+    public void arrived(ClientConnection client) throws BadMessage {
+        if (RpcHead.asksReady(client.bytes())) {
+            client.answer(owner.isReady() && !stopping ? 200 : 503, 0, false);
+        } else {
+            owner.take(client);
+        }
+    }
+
+    @Override
+    public void idle(ClientConnection client) {
+        idle.add(client);
+        if (stopping && !listener.isOpen()) {
+            client.close();
+        }
+    }
+
+    @Override
+    public void busy(ClientConnection client) {
+        idle.remove(client);
+    }
+
+    @Override
+    public void left(ClientConnection client) {
+        owner.left(client);
+    }
+
+    @Override
+    public void released(ClientConnection client) {
+        budget.client(-1);
+        idle.remove(client);
+        open.remove(client);
+    }
+
+    @Override
+    public boolean isStopping() {
+        return stopping;
+    }
+
+    /** From now on each answer is its connection's last. */
+    void stop() {
+        stopping = true;
+    }
+
+    /** What has connected by now is still served; nothing more is accepted, and idle connections close. */
+    void stopAccepting() {
+        try {
+            accept();
+            listener.close();
+        } catch (IOException e) {
+            LOG.warning("the listening socket did not close cleanly", e.getMessage());
+        }
+        new ArrayList<>(idle).forEach(ClientConnection::close);
+    }
+
+    boolean isEmpty() {
+        return open.isEmpty();
+    }
+
+    void close() throws IOException {
+        listener.close();
+        new ArrayList<>(open).forEach(ClientConnection::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/hopdrum/frontdoor/Counter.java
@@ -0,0 +1,88 @@
+package hopdrum.frontdoor;
+
+import hopdrum.frontdoor.lifecycle.Log;
+import hopdrum.frontdoor.lifecycle.Loop;
+import hopdrum.frontdoor.memory.Budget;
+import hopdrum.frontdoor.memory.CounterConnection;
+import hopdrum.host.Outcome;
+import java.io.IOException;
+import java.net.SocketAddress;
+
+/** The few connections to the counter. A name keeps to one of them, so that its answers come in order. */
+final class Counter implements CounterConnection.Owner {
+    private static final Log LOG = new Log("counter");
+    private static final int CONNECTIONS = 2;
+    private static final long STUCK_US = 1_000_000;
+
+    /** Who is told how calls end. */
+    interface Owner {
+        void counted(long name, Outcome outcome, double total, long tookUs);
+    }
+
+    private final Loop loop;
+    private final SocketAddress address;
+    private final long timeOutUs;
+    private final Budget budget;
+    private final Owner owner;
+    private final CounterConnection[] connections = new CounterConnection[CONNECTIONS];
+
+    Counter(Loop loop, SocketAddress address, long timeOutUs, Budget budget, Owner owner) {
+        this.loop = loop;
+        this.address = address;
+        this.timeOutUs = timeOutUs;
+        this.budget = budget;
+        this.owner = owner;
+        loop.in(STUCK_US, this::check);
+    }
+
+    void add(long name, double amount, long lifeMs) {
+        int slot = Math.floorMod(Long.hashCode(name), CONNECTIONS);
+        try {
+            if (connections[slot] == null) {
+                connections[slot] = new CounterConnection(loop, address, timeOutUs, budget, this);
+            }
+            if (connections[slot].call(name, amount, lifeMs)) {
+                return;
+            }
+        } catch (IOException e) {
+            LOG.warning("no connection to the counter", e.getMessage());
+        }
+        loop.soon(() -> owner.counted(name, Outcome.CONNECT_FAILED, 0, 0));
+    }
+
+    @Override
+    public void counted(long name, Outcome outcome, double total, long tookUs) {
+        if (outcome != Outcome.OK) {
+            LOG.warning("a call to the counter ended as " + outcome, null);
+        }
+        owner.counted(name, outcome, total, tookUs);
+    }
+
+    /** Guards against a connection that stands open and silent (a counter that vanished): a new one takes its place. */
+    private void check() {
+        for (CounterConnection connection : connections) {
+            if (connection != null && connection.isStuck(STUCK_US)) {
+                LOG.warning("a connection to the counter is silent and replaced", null);
+                connection.giveUp();
+            }
+        }
+        loop.in(STUCK_US / 4, this::check);
+    }
+
+    @Override
+    public void released(CounterConnection connection) {
+        for (int i = 0; i < CONNECTIONS; i++) {
+            if (connections[i] == connection) {
+                connections[i] = null;
+            }
+        }
+    }
+
+    void close() {
+        for (CounterConnection connection : connections.clone()) {
+            if (connection != null) {
+                connection.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/hopdrum/frontdoor/Discovery.java
@@ -0,0 +1,150 @@
+package hopdrum.frontdoor;
+
+import hopdrum.frontdoor.lifecycle.Link;
+import hopdrum.frontdoor.lifecycle.Log;
+import hopdrum.frontdoor.lifecycle.Loop;
+import hopdrum.frontdoor.memory.Budget;
+import hopdrum.frontdoor.wire.BadMessage;
+import hopdrum.frontdoor.wire.DiscoveryReader;
+import hopdrum.frontdoor.wire.Json;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+
+/** Follows the list of backends: one watch, kept up; a whole list after a line that could not be read. */
+final class Discovery {
+    private static final Log LOG = new Log("discovery");
+    private static final int MOST_BYTES = 64 << 10;
+    private static final long SILENT_US = 7_000_000;    // an empty line comes every 2 s
+    private static final long AGAIN_US = 500_000;
+
+    /** Who is told of the list. */
+    interface Owner {
+        /** Throws IllegalArgumentException where the message cannot be understood. */
+        void told(Map<?, ?> message, boolean whole);
+    }
+
+    private final Loop loop;
+    private final InetSocketAddress address;
+    private final Budget budget;
+    private final Owner owner;
+    private long version;
+    private Connection watch;
+    private Connection fetch;
+    private long lastHeardUs;
+    private boolean closed;
+
+    Discovery(Loop loop, InetSocketAddress address, long version, Budget budget, Owner owner) {
+        this.loop = loop;
+        this.address = address;
+        this.version = version;
+        this.budget = budget;
+        this.owner = owner;
+    }
+
+    void start() {
+        keepUp();
+    }
+
+    private void keepUp() {
+        if (closed) {
+            return;
+        }
+        if (watch != null && loop.nowUs() - lastHeardUs > SILENT_US) {
+            LOG.warning("the watch is silent and opened anew", null);
+            watch.close();
+        }
+        if (watch == null) {
+            lastHeardUs = loop.nowUs();
+            watch = open(true);
+        }
+        loop.in(AGAIN_US, this::keepUp);
+    }
+
+    private Connection open(boolean isWatch) {
+        try {
+            return new Connection(isWatch);
+        } catch (IOException e) {
+            LOG.warning("no connection to discovery", e.getMessage());
+            return null;
+        }
+    }
+
+    void close() {
+        closed = true;
+        if (watch != null) {
+            watch.close();
+        }
+        if (fetch != null) {
+            fetch.close();
+        }
+    }
+
+    private void line(String line, boolean isWatch) {
+        lastHeardUs = isWatch ? loop.nowUs() : lastHeardUs;
+        if (line.isEmpty()) {
+            return;
+        }
+        try {
+            if (!(Json.parse(line) instanceof Map<?, ?> message) || !(message.get("seq") instanceof Double seq)
+                    || !(message.get("whole") instanceof Boolean whole)) {
+                throw new IllegalArgumentException("no list");
+            }
+            if (!isWatch && seq.longValue() < version) {
+                return; // the watch has told more since
+            }
+            owner.told(message, whole);
+            version = seq.longValue();
+        } catch (IllegalArgumentException e) {
+            LOG.warning("a line from discovery cannot be read, the whole list is fetched", e.getMessage());
+            if (isWatch && fetch == null) {
+                fetch = open(false);
+            }
+        }
+    }
+
+    private final class Connection extends Link {
+        private final boolean isWatch;
+        private final DiscoveryReader reader;
+
+        Connection(boolean isWatch) throws IOException {
+            super(Discovery.this.loop, address, MOST_BYTES, budget);
+            this.isWatch = isWatch;
+            this.reader = new DiscoveryReader(line -> line(line, isWatch));
+            DiscoveryReader.ask(isWatch, version, address.getAddress().getHostAddress() + ":" + address.getPort(), out);
+            flush();
+            if (!isWatch) {
+                loop.in(SILENT_US, this::close);
+            }
+        }
+
+        @Override
+        protected void received() {
+            try {
+                if (reader.read(in)) {
+                    close();
+                }
+            } catch (BadMessage e) {
+                LOG.warning("discovery's answer cannot be read", e.getMessage());
+                close();
+            }
+        }
+
+        @Override
+        protected void ended() {
+            if (isWatch) {
+                LOG.info("the watch has ended and is opened anew", null);
+            }
+        }
+
+        @Override
+        protected void released() {
+            if (watch == this) {
+                watch = null;
+            }
+            if (fetch == this) {
+                fetch = null;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -0,0 +1,329 @@
+package hopdrum.frontdoor;
+
+import hopdrum.frontdoor.lifecycle.Config;
+import hopdrum.frontdoor.lifecycle.Log;
+import hopdrum.frontdoor.lifecycle.Loop;
+import hopdrum.frontdoor.memory.BackendConnection;
+import hopdrum.frontdoor.memory.Budget;
+import hopdrum.frontdoor.memory.CallOut;
+import hopdrum.frontdoor.memory.ClientConnection;
+import hopdrum.frontdoor.memory.Directory;
+import hopdrum.frontdoor.memory.OpenRpc;
+import hopdrum.frontdoor.memory.Pool;
+import hopdrum.frontdoor.memory.Rpcs;
+import hopdrum.frontdoor.wire.BadMessage;
+import hopdrum.frontdoor.wire.HttpReader;
+import hopdrum.frontdoor.wire.Ring;
+import hopdrum.frontdoor.wire.RpcHead;
+import hopdrum.host.Host;
+import hopdrum.host.Listed;
+import hopdrum.host.Method;
+import hopdrum.host.Outcome;
+import hopdrum.policy.Policy;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One front door: Policy's Host on sockets. What comes in turns into calls on Policy, and Policy's calls into bytes;
+ * nothing is decided here. Policy is never called from inside one of its own calls: what ends there is told by
+ * Loop.soon().
+ */
+public final class FrontDoor implements Host, Clients.Owner, BackendConnection.Owner, Counter.Owner, Discovery.Owner {
+    private static final Log LOG = new Log("frontdoor");
+    private static final float[] NO_REPORT = {};
+    private static final long ACCEPT_ON_US = 500_000;
+    private static final long CHECK_US = 250_000;
+
+    private final Config config;
+    private final Loop loop;
+    private final Budget budget;
+    private final Directory directory;
+    private final Rpcs rpcs = new Rpcs();
+    private final RpcHead head;
+    private final Clients clients;
+    private final Counter counter;
+    private final Discovery discovery;
+    private final Peers peers;
+    private final Policy policy;
+    private Loop.Timer wake;
+    private boolean listKnown;
+
+    public FrontDoor(Config config, Loop loop) throws IOException {
+        this.config = config;
+        this.loop = loop;
+        budget = new Budget(config.sockets(), config.memoryMb() * (1L << 20) / 6);
+        directory = new Directory(config.zones(), config.kinds());
+        head = new RpcHead(config.methods(), config.plans());
+        policy = new Policy(config.settings(), config.seed(), this);
+        counter = config.counter() == null ? null
+                : new Counter(loop, config.counter(), config.settings().countWaitUs(), budget, this);
+        peers = config.peerListen() == null || !config.settings().mayTell() ? null
+                : new Peers(loop, config.peerListen(), config.peers(), policy::heard);
+        long version = known();
+        discovery = new Discovery(loop, config.discovery(), version, budget, this);
+        discovery.start();
+        clients = new Clients(loop, config.listen(), budget, this);
+        loop.in(CHECK_US, this::check);
+    }
+
+    public SocketAddress address() throws IOException {
+        return clients.address();
+    }
+
+    /** The list as this front door last had it, and its version; -1 without one. */
+    private long known() {
+        Map<?, ?> known = config.known();
+        if (known == null || !(known.get("seq") instanceof Double seq)) {
+            return -1;
+        }
+        try {
+            List<Listed> listed = directory.take(known, true);
+            policy.listed(Listed.Form.CACHED, listed);
+            listKnown = !listed.isEmpty();
+            return seq.longValue();
+        } catch (IllegalArgumentException e) {
+            LOG.warning("the known list cannot be read", e.getMessage());
+            return -1;
+        }
+    }
+
+    private void check() {
+        if (config.idleUs() > 0) {
+            for (Pool pool : directory.pools()) {
+                pool.closeIdleSince(nowUs() - config.idleUs() * 3 / 4);
+            }
+        }
+        directory.sweep();
+        loop.in(CHECK_US, this::check);
+    }
+
+    /** SIGTERM: not ready, accepting on for a while, then what was taken is finished. */
+    public void stop() {
+        LOG.info("stopping", rpcs.size() + " RPCs under way");
+        clients.stop();
+        loop.in(ACCEPT_ON_US, () -> {
+            clients.stopAccepting();
+            stopIfEmpty();
+        });
+    }
+
+    private void stopIfEmpty() {
+        if (clients.isEmpty()) {
+            loop.stop();
+        } else {
+            loop.in(10_000, this::stopIfEmpty);
+        }
+    }
+
+    /** All sockets are given back. */
+    public void close() throws IOException {
+        clients.close();
+        discovery.close();
+        if (counter != null) {
+            counter.close();
+        }
+        if (peers != null) {
+            peers.close();
+        }
+        for (Pool pool : directory.pools()) {
+            pool.closeAll();
+        }
+    }
+
+    // ---- What comes in ----
+
+    @Override
+    public boolean isReady() {
+        return listKnown;
+    }
+
+    @Override
+    public void take(ClientConnection client) throws BadMessage {
+        head.read(client.bytes(), client.message());
+        Method.Repeat repeat = config.settings().methods().get(head.method).repeat();
+        if (repeat == Method.Repeat.DEDUPLICATED && !head.isMarked(client.bytes(), client.message())) {
+            throw new BadMessage(400, "no Idempotency-Key");
+        }
+        OpenRpc rpc = rpcs.open(client);
+        client.took(rpc);
+        long leftUs = Math.max(1, head.leftMs * 1000 - client.ageUs());
+        rpc.handle = policy.take(rpc.id, head.method, head.customer, head.plan, head.units, head.firstGateway,
+                head.gateways, leftUs);
+        rpcs.closeIfOver(rpc);
+    }
+
+    @Override
+    public void left(ClientConnection client) {
+        OpenRpc rpc = client.rpc();
+        rpc.client = null;
+        rpc.handle.clientLeft();
+        rpcs.closeIfOver(rpc);
+    }
+
+    @Override
+    public void pass(CallOut callOut, Ring bytes, HttpReader answer) {
+        ClientConnection client = callOut.rpc.client;
+        if (client != null) {
+            callOut.rpc.client = null;
+            client.answer(bytes, answer);
+        }
+    }
+
+    @Override
+    public void ended(CallOut callOut, Outcome outcome, float[] report) {
+        if (callOut.ended) {
+            return;
+        }
+        callOut.ended = true;
+        callOut.timeOut.cancel();
+        OpenRpc rpc = callOut.rpc;
+        rpc.handle.callOutEnded(callOut.number, outcome, nowUs() - callOut.sentUs, outcome == Outcome.OK, 0, report);
+        rpcs.closeIfOver(rpc);
+    }
+
+    private void timedOut(CallOut callOut) {
+        if (!callOut.ended) {
+            giveUp(callOut);
+            ended(callOut, Outcome.TIMED_OUT, NO_REPORT);
+        }
+    }
+
+    private static void giveUp(CallOut callOut) {
+        if (callOut.connection != null) {
+            callOut.connection.giveUp();
+            callOut.connection = null;
+        }
+    }
+
+    @Override
+    public void released(BackendConnection connection) {
+        budget.backend(-1);
+    }
+
+    @Override
+    public void counted(long name, Outcome outcome, double total, long tookUs) {
+        policy.counted(name, outcome, total, tookUs);
+    }
+
+    @Override
+    public void told(Map<?, ?> message, boolean whole) {
+        List<Listed> listed = directory.take(message, whole);
+        listKnown |= !listed.isEmpty();
+        if (whole || !listed.isEmpty()) {
+            policy.listed(whole ? Listed.Form.WHOLE : Listed.Form.CHANGES, listed);
+        }
+    }
+
+    // ---- What Policy asks ----
+
+    @Override
+    public long nowUs() {
+        return loop.nowUs();
+    }
+
+    @Override
+    public void callOut(long id, long backend, long timeOutUs) {
+        OpenRpc rpc = rpcs.get(id);
+        CallOut callOut = new CallOut(rpc, rpc.callOuts.size(), nowUs());
+        rpc.callOuts.add(callOut);
+        callOut.timeOut = loop.in(timeOutUs, () -> timedOut(callOut));
+        Pool pool = directory.get(backend);
+        if (rpc.client == null || pool == null) {
+            loop.soon(() -> ended(callOut, Outcome.MOOT, NO_REPORT));
+            return;
+        }
+        BackendConnection connection = pool.takeIdle();
+        try {
+            if (connection == null) {
+                connection = connect(pool);
+            }
+        } catch (IOException e) {
+            LOG.warning("no connection to a backend", e.getMessage());
+        }
+        if (connection == null || !connection.send(callOut, Math.max(1, timeOutUs / 1000))) {
+            loop.soon(() -> ended(callOut, Outcome.CONNECT_FAILED, NO_REPORT));
+        }
+    }
+
+    private BackendConnection connect(Pool pool) throws IOException {
+        if (!budget.backendFits()) {
+            directory.closeLongestIdle();
+        }
+        if (!budget.backendFits()) {
+            LOG.warning("no descriptor or memory left for more connections to backends", null);
+            return null;
+        }
+        BackendConnection connection = new BackendConnection(loop, pool, config.dialTimeOutUs(),
+                config.settings().reportFields(), budget, this);
+        budget.backend(1);
+        pool.opened(connection);
+        return connection;
+    }
+
+    @Override
+    public void cancelCallOut(long id, int number) {
+        OpenRpc rpc = rpcs.get(id);
+        CallOut callOut = rpc == null || number >= rpc.callOuts.size() ? null : rpc.callOuts.get(number);
+        if (callOut != null && !callOut.ended) {
+            giveUp(callOut);
+            loop.soon(() -> ended(callOut, Outcome.CANCELLED, NO_REPORT));
+        }
+    }
+
+    @Override
+    public void pushBack(long id, long retryAfterUs) {
+        answer(id, retryAfterUs > 0 ? 429 : 503, retryAfterUs);
+    }
+
+    @Override
+    public void abort(long id) {
+        answer(id, 500, 0);
+    }
+
+    private void answer(long id, int status, long retryAfterUs) {
+        OpenRpc rpc = rpcs.get(id);
+        if (rpc.client != null) {
+            ClientConnection client = rpc.client;
+            rpc.client = null;
+            client.answer(status, retryAfterUs, false);
+        }
+        if (rpc.handle != null) { // else take() looks when it has the handle
+            rpcs.closeIfOver(rpc);
+        }
+    }
+
+    @Override
+    public void addToCount(long name, double units, long timeToLiveUs) {
+        if (counter != null) {
+            counter.add(name, units, timeToLiveUs / 1000);
+        } else {
+            loop.soon(() -> counted(name, Outcome.CONNECT_FAILED, 0, 0));
+        }
+    }
+
+    @Override
+    public void tell(int gateway, byte[] message) {
+        if (peers != null) {
+            peers.tell(gateway, message);
+        }
+    }
+
+    @Override
+    public void wakeIn(long delayUs) {
+        if (wake != null) {
+            wake.cancel();
+        }
+        wake = loop.in(delayUs, policy());
+    }
+
+    private Runnable policy() {
+        return () -> policy.wake();
+    }
+
+    /** The watch is kept up from the start, whether it has to be asked for or not. */
+    @Override
+    public void followList() {
+    }
+}
--- /dev/null
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Loop.java
@@ -0,0 +1,166 @@
+package hopdrum.frontdoor.lifecycle;
+
+import java.io.IOException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.PriorityQueue;
+
+/** The one thread: waits for sockets and timers and calls their owners. Owns the selector and the clock. */
+public final class Loop {
+    /** What a socket's key carries. */
+    public interface Ready {
+        void ready(SelectionKey key) throws IOException;
+
+        /** Its handling threw: the socket is given up. */
+        void broken(Exception e);
+    }
+
+    /** A time to call at; a cancelled one stays in its queue until its time. */
+    public static final class Timer {
+        private final long atUs;
+        private final long order;
+        private Runnable what;
+
+        private Timer(long atUs, long order, Runnable what) {
+            this.atUs = atUs;
+            this.order = order;
+            this.what = what;
+        }
+
+        public void cancel() {
+            what = null;
+        }
+    }
+
+    private static final Log LOG = new Log("loop");
+    private final Selector selector;
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>( // emptied as they come due
+            Comparator.comparingLong((Timer t) -> t.atUs).thenComparingLong(t -> t.order));
+    private final Deque<Runnable> soon = new ArrayDeque<>();         // emptied after each call
+    // Names of counts and the list's times are shared between machines: so time starts at the wall clock's, and
+    // from there one monotonic clock alone moves it.
+    private final long wallAtStartUs = System.currentTimeMillis() * 1000;
+    private final long nanosAtStart = System.nanoTime();
+    private long nowUs = wallAtStartUs;
+    private long unseenSinceUs = nowUs;
+    private long orders;
+    private volatile boolean asked;
+    private Runnable whenAsked;
+    private boolean stopped;
+
+    public Loop() throws IOException {
+        selector = Selector.open();
+    }
+
+    public Selector selector() {
+        return selector;
+    }
+
+    /** The time of the event being handled. */
+    public long nowUs() {
+        return nowUs;
+    }
+
+    /** Bytes that are found now came in no earlier than this. */
+    public long unseenSinceUs() {
+        return unseenSinceUs;
+    }
+
+    public Timer at(long atUs, Runnable what) {
+        Timer timer = new Timer(atUs, orders++, what);
+        timers.add(timer);
+        return timer;
+    }
+
+    public Timer in(long delayUs, Runnable what) {
+        return at(nowUs + delayUs, what);
+    }
+
+    /** Calls after the present event is handled: what may not be called from inside of Policy's calls on its Host. */
+    public void soon(Runnable what) {
+        soon.add(what);
+    }
+
+    /** May be called from another thread, once: the loop then calls what was given to whenAsked(). */
+    public void ask() {
+        asked = true;
+        selector.wakeup();
+    }
+
+    public void whenAsked(Runnable what) {
+        whenAsked = what;
+    }
+
+    public void stop() {
+        stopped = true;
+    }
+
+    public void run() throws IOException {
+        while (!stopped) {
+            long waitUs = timers.isEmpty() ? 1_000_000 : timers.peek().atUs - tick();
+            long beforeUs = nowUs;
+            if (!soon.isEmpty() || waitUs <= 0) {
+                selector.selectNow(this::ready);
+            } else {
+                selector.select(this::ready, (waitUs + 999) / 1000);
+            }
+            tick();
+            unseenSinceUs = beforeUs;
+            if (asked && whenAsked != null) {
+                Runnable what = whenAsked;
+                whenAsked = null;
+                guarded(what);
+            }
+            while (!timers.isEmpty() && timers.peek().atUs <= nowUs) {
+                Runnable what = timers.poll().what;
+                if (what != null) {
+                    guarded(what);
+                }
+            }
+        }
+    }
+
+    public void close() throws IOException {
+        selector.close();
+    }
+
+    private long tick() {
+        return nowUs = wallAtStartUs + (System.nanoTime() - nanosAtStart) / 1000;
+    }
+
+    private void ready(SelectionKey key) {
+        long beforeUs = nowUs;
+        tick();
+        Ready owner = (Ready) key.attachment();
+        try {
+            owner.ready(key);
+        } catch (IOException | RuntimeException e) {
+            owner.broken(e);
+        }
+        unseenSinceUs = beforeUs;
+        runSoon();
+    }
+
+    private void guarded(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException e) { // a fault in one event must not end all others
+            LOG.fault("an event's handling failed", e);
+        }
+        runSoon();
+    }
+
+    private void runSoon() {
+        while (!soon.isEmpty()) {
+            Runnable what = soon.poll();
+            try {
+                what.run();
+            } catch (RuntimeException e) { // as above
+                LOG.fault("an event's handling failed", e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
@@ -0,0 +1,57 @@
+package hopdrum.frontdoor.lifecycle;
+
+import hopdrum.frontdoor.FrontDoor;
+import java.io.IOException;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+
+/** Start and end of one front door: the process as the operators see it. */
+public final class Server {
+    private static final Log LOG = new Log("server");
+
+    private Server() {
+    }
+
+    /** Runs until SIGTERM; the exit code is the process's. */
+    public static int serve(String configFile) {
+        Config config;
+        try {
+            if (configFile == null) {
+                throw new IllegalArgumentException("LB_CONFIG does not name the configuration");
+            }
+            config = Config.read(Path.of(configFile));
+        } catch (IllegalArgumentException e) {
+            String why = e instanceof InvalidPathException ? "LB_CONFIG is no path" : e.getMessage();
+            System.err.println("hopdrum serve: " + why.replace('\n', ' '));
+            return 1;
+        }
+        try {
+            Loop loop = new Loop();
+            FrontDoor door = new FrontDoor(config, loop);
+            loop.whenAsked(door::stop);
+            Thread loopThread = Thread.currentThread();
+            Thread onTerm = new Thread(() -> end(loop, loopThread), "on-sigterm");
+            Runtime.getRuntime().addShutdownHook(onTerm);
+            LOG.info("serving as " + config.name(), config.listen());
+            loop.run();
+            door.close();
+            loop.close();
+            LOG.info("ended", null);
+            return 0;
+        } catch (IOException e) {
+            System.err.println("hopdrum serve: " + e);
+            return 1;
+        }
+    }
+
+    /** Runs as the process is told to end: it ends once the loop has, and as a success. */
+    private static void end(Loop loop, Thread loopThread) {
+        loop.ask();
+        try {
+            loopThread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Runtime.getRuntime().halt(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
@@ -0,0 +1,169 @@
+package hopdrum.frontdoor.memory;
+
+import hopdrum.frontdoor.lifecycle.Link;
+import hopdrum.frontdoor.lifecycle.Loop;
+import hopdrum.frontdoor.wire.BadMessage;
+import hopdrum.frontdoor.wire.BackendAnswer;
+import hopdrum.frontdoor.wire.HttpReader;
+import hopdrum.frontdoor.wire.RpcHead;
+import hopdrum.frontdoor.wire.Ring;
+import hopdrum.host.Outcome;
+import java.io.IOException;
+import java.util.List;
+
+/** A connection to a backend: one call-out at a time, kept for the next one where the backend keeps it. */
+public final class BackendConnection extends Link {
+    /** Who is told how call-outs end. */
+    public interface Owner {
+        /** A whole answer that was asked for: its client gets it. The connection's bytes stand until this returns. */
+        void pass(CallOut callOut, Ring bytes, HttpReader answer);
+
+        void ended(CallOut callOut, Outcome outcome, float[] report);
+
+        void released(BackendConnection connection);
+    }
+
+    private static final int MOST_BYTES = 128 << 10;
+    private static final float[] NO_REPORT = {};
+    private final Owner owner;
+    private final Pool pool;
+    private final List<String> reportFields;
+    private final HttpReader reader = new HttpReader(HttpReader.Kind.RESPONSE);
+    private CallOut callOut;
+    private boolean written;       // the call-out's last byte
+    private Loop.Timer dial;
+    private long idleSinceUs;
+
+    public BackendConnection(Loop loop, Pool pool, long dialTimeOutUs, List<String> reportFields, Budget budget,
+                             Owner owner) throws IOException {
+        super(loop, pool.address(), MOST_BYTES, budget);
+        this.pool = pool;
+        this.owner = owner;
+        this.reportFields = reportFields;
+        if (!isConnected()) {
+            dial = loop.in(dialTimeOutUs, this::notUp);
+        }
+    }
+
+    public Pool pool() {
+        return pool;
+    }
+
+    public long idleSinceUs() {
+        return idleSinceUs;
+    }
+
+    /** Writes the RPC that stands at the front of its client's ring. */
+    public boolean send(CallOut sent, long waitMs) {
+        ClientConnection client = sent.rpc.client;
+        if (!RpcHead.forward(client.bytes(), client.message(), waitMs, out)) {
+            return false;
+        }
+        callOut = sent;
+        sent.connection = this;
+        written = false;
+        flush();
+        return true;
+    }
+
+    @Override
+    protected void connected() {
+        if (dial != null) {
+            dial.cancel();
+            dial = null;
+        }
+    }
+
+    private void notUp() {
+        if (!isConnected() && !isClosed()) {
+            ended();
+            close();
+        }
+    }
+
+    @Override
+    protected void drained() {
+        written = true;
+    }
+
+    @Override
+    protected void received() {
+        if (callOut == null) {
+            close(); // bytes that answer nothing
+            return;
+        }
+        try {
+            if (reader.read(in)) {
+                whole(reader.keepAlive() && written);
+            }
+        } catch (BadMessage e) {
+            broken(Outcome.ERROR);
+            close();
+        }
+    }
+
+    /** The client first, then the connection's next use, then the news of it, upon which that use may come. */
+    private void whole(boolean keeps) {
+        CallOut over = detach();
+        Outcome outcome = BackendAnswer.outcome(in, reader);
+        float[] report = BackendAnswer.report(in, reader, reportFields);
+        if (outcome == Outcome.OK) {
+            owner.pass(over, in, reader);
+        }
+        if (keeps) {
+            free();
+        } else {
+            close();
+        }
+        owner.ended(over, outcome, report);
+    }
+
+    private void broken(Outcome outcome) {
+        owner.ended(detach(), outcome, NO_REPORT);
+    }
+
+    private CallOut detach() {
+        CallOut over = callOut;
+        callOut = null;
+        over.connection = null;
+        return over;
+    }
+
+    private void free() {
+        reader.done(in);
+        if (!in.isEmpty()) {
+            close(); // more than one answer
+            return;
+        }
+        in.shrink();
+        idleSinceUs = loop.nowUs();
+        pool.keep(this);
+    }
+
+    @Override
+    protected void ended() {
+        if (callOut == null) {
+            return;
+        }
+        if (reader.ended()) {
+            whole(false);
+        } else {
+            broken(written ? Outcome.RESET : Outcome.CONNECT_FAILED);
+        }
+    }
+
+    /** Nobody waits any more: the backend sees the connection close. */
+    public void giveUp() {
+        callOut = null;
+        close();
+    }
+
+    @Override
+    protected void released() {
+        if (dial != null) {
+            dial.cancel();
+        }
+        pool.forget(this);
+        owner.released(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/hopdrum/frontdoor/memory/Budget.java
@@ -0,0 +1,50 @@
+package hopdrum.frontdoor.memory;
+
+import hopdrum.frontdoor.wire.Ring;
+
+/** How many descriptors and how much memory the connections may hold, and what they hold now. */
+public final class Budget implements Ring.Account {
+    private static final int KEPT = 64;         // for files, discovery, the counter, UDP and the selector
+    private final int mostClients;
+    private final int mostBackends;
+    private final long mostBytes;
+    private int clients;
+    private int backends;
+    private long bytes;
+
+    public Budget(int sockets, long memoryBytes) {
+        int shared = Math.max(8, sockets - KEPT);
+        mostBackends = shared * 2 / 5;
+        mostClients = shared - mostBackends;
+        mostBytes = memoryBytes;
+    }
+
+    public boolean clientFits() {
+        return clients < mostClients && bytes < mostBytes;
+    }
+
+    public boolean backendFits() {
+        return backends < mostBackends && bytes < mostBytes;
+    }
+
+    public void client(int by) {
+        clients += by;
+    }
+
+    public void backend(int by) {
+        backends += by;
+    }
+
+    public int clients() {
+        return clients;
+    }
+
+    public int backends() {
+        return backends;
+    }
+
+    @Override
+    public void changed(int byBytes) {
+        bytes += byBytes;
+    }
+}
--- /dev/null
+++ b/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
@@ -0,0 +1,210 @@
+package hopdrum.frontdoor.memory;
+
+import hopdrum.frontdoor.lifecycle.Link;
+import hopdrum.frontdoor.lifecycle.Loop;
+import hopdrum.frontdoor.wire.BadMessage;
+import hopdrum.frontdoor.wire.HttpReader;
+import hopdrum.frontdoor.wire.HttpWriter;
+import hopdrum.frontdoor.wire.Ring;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+
+/** A client's connection: one message after another; the next is looked at when the one before has its answer. */
+public final class ClientConnection extends Link {
+    /** Who is told of its messages and its end. */
+    public interface Owner {
+        /** A whole message stands at the front; throws what the client is to be told of it. */
+        void arrived(ClientConnection client) throws BadMessage;
+
+        /** Nothing is under way on it. */
+        void idle(ClientConnection client);
+
+        void busy(ClientConnection client);
+
+        void left(ClientConnection client);
+
+        void released(ClientConnection client);
+
+        /** True once this program is stopping: the connection closes with its next answer. */
+        boolean isStopping();
+    }
+
+    private static final int MOST_BYTES = 128 << 10;
+    private static final long SLOW_US = 10_000_000;     // for a message to come in, or an answer to be taken
+    private static final long LINGER_US = 1_000_000;
+    private final Owner owner;
+    private final HttpReader reader = new HttpReader(HttpReader.Kind.REQUEST);
+    private OpenRpc rpc;
+    private long arrivedUs;        // before the first byte of the message at the front
+    private long behindUs;         // before the first byte of what came in behind it
+    private Loop.Timer slow;
+    private boolean closing;       // the last answer is written or being written
+
+    public ClientConnection(Loop loop, SocketChannel channel, Budget budget, Owner owner) throws IOException {
+        super(loop, channel, MOST_BYTES, budget);
+        this.owner = owner;
+        owner.idle(this);
+    }
+
+    public Ring bytes() {
+        return in;
+    }
+
+    public HttpReader message() {
+        return reader;
+    }
+
+    public OpenRpc rpc() {
+        return rpc;
+    }
+
+    /** How long ago the client may have sent the first byte of the message at the front. */
+    public long ageUs() {
+        return loop.nowUs() - arrivedUs;
+    }
+
+    /** An RPC is made of the message at the front; it stays there until the answer. */
+    public void took(OpenRpc taken) {
+        rpc = taken;
+    }
+
+    @Override
+    protected void received() {
+        if (closing) {
+            in.skip(in.size());
+            return;
+        }
+        if (rpc != null) {
+            behindUs = behindUs == 0 ? loop.unseenSinceUs() : behindUs;
+            return;
+        }
+        if (arrivedUs == 0) {
+            arrivedUs = loop.unseenSinceUs();
+            owner.busy(this);
+        }
+        next();
+    }
+
+    /** Takes up messages until one waits for its answer or is not whole yet. */
+    private void next() {
+        try {
+            while (rpc == null && !closing && !isClosed()) {
+                if (!reader.read(in)) {
+                    incomplete();
+                    return;
+                }
+                stopClock();
+                owner.arrived(this);
+            }
+        } catch (BadMessage e) {
+            stopClock();
+            answer(e.status, 0, true);
+        }
+    }
+
+    private void incomplete() throws BadMessage {
+        if (!reader.isStarted() && in.isEmpty()) {
+            arrivedUs = 0;
+            in.shrink();
+            owner.idle(this);
+        } else {
+            if (reader.awaitsLeave() && HttpWriter.leaveToSend(out)) {
+                flush();
+            }
+            if (in.isFull()) {
+                throw new BadMessage(413, "the message is longer than its ring");
+            }
+            if (slow == null) {
+                slow = loop.in(SLOW_US, this::close); // guards against senders that hold a connection by sending slowly
+            }
+        }
+    }
+
+    private void stopClock() {
+        if (slow != null) {
+            slow.cancel();
+            slow = null;
+        }
+    }
+
+    /** A backend's whole answer, which is still in that backend's ring; false if it could not be held. */
+    public boolean answer(Ring from, HttpReader answer) {
+        boolean last = !reader.keepAlive() || owner.isStopping();
+        if (!HttpWriter.answer(from, answer, last, out)) {
+            return false;
+        }
+        answered(last);
+        return true;
+    }
+
+    /** An answer of this program's own. */
+    public void answer(int status, long retryAfterUs, boolean close) {
+        boolean last = close || !reader.keepAlive() || owner.isStopping();
+        if (!HttpWriter.plain(status, retryAfterUs, last, out)) {
+            loop.soon(this::close);
+            return;
+        }
+        answered(last);
+    }
+
+    private void answered(boolean last) {
+        rpc = null;
+        closing = last;
+        if (last) {
+            in.skip(in.size());
+        } else {
+            reader.done(in);
+            arrivedUs = in.isEmpty() ? 0 : behindUs == 0 ? arrivedUs : behindUs;
+            behindUs = 0;
+        }
+        if (out.size() > 0) {
+            flush();
+        }
+        if (!out.isEmpty() && slow == null) {
+            slow = loop.in(SLOW_US, this::close); // guards against clients that do not take their answers
+        }
+        if (!last) {
+            loop.soon(this::again);
+        }
+    }
+
+    private void again() {
+        if (!isClosed() && rpc == null && !closing) {
+            if (arrivedUs != 0 && !in.isEmpty()) {
+                next();
+            } else if (in.isEmpty()) {
+                owner.idle(this);
+                in.shrink();
+            }
+            interest();
+        }
+    }
+
+    @Override
+    protected void drained() {
+        stopClock();
+        if (closing && !isClosed()) {
+            endSending(); // closing at once could reset the connection under the answer
+            slow = loop.in(LINGER_US, this::close);
+        }
+    }
+
+    /** Idle, and no bytes of a message have come. */
+    public boolean isIdle() {
+        return rpc == null && in.isEmpty() && out.isEmpty() && !closing;
+    }
+
+    @Override
+    protected void ended() {
+        // released() tells of the RPC, however the connection ends
+    }
+
+    @Override
+    protected void released() {
+        stopClock();
+        if (rpc != null) {
+            owner.left(this);
+        }
+        owner.released(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/hopdrum/frontdoor/memory/CounterConnection.java
@@ -0,0 +1,161 @@
+package hopdrum.frontdoor.memory;
+
+import hopdrum.frontdoor.lifecycle.Link;
+import hopdrum.frontdoor.lifecycle.Loop;
+import hopdrum.frontdoor.wire.BadMessage;
+import hopdrum.frontdoor.wire.CounterProtocol;
+import hopdrum.frontdoor.wire.HttpReader;
+import hopdrum.host.Outcome;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** A connection to the counter: calls written one after another, answers in the same order. */
+public final class CounterConnection extends Link {
+    /** Who is told how calls end. */
+    public interface Owner {
+        void counted(long name, Outcome outcome, double total, long tookUs);
+
+        void released(CounterConnection connection);
+    }
+
+    private static final int MOST_BYTES = 64 << 10;
+
+    private static final class Call {
+        final long name;
+        final long sentUs;
+        final long writtenAt;       // bytes written on the connection by its last one
+        boolean reported;
+
+        Call(long name, long sentUs, long writtenAt) {
+            this.name = name;
+            this.sentUs = sentUs;
+            this.writtenAt = writtenAt;
+        }
+    }
+
+    private final Owner owner;
+    private final long timeOutUs;
+    private final HttpReader reader = new HttpReader(HttpReader.Kind.RESPONSE);
+    private final Deque<Call> unanswered = new ArrayDeque<>(); // emptied by answers and by the connection's end
+    private final Deque<Call> awaited = new ArrayDeque<>();    // those of them not timed out yet
+    private long put;
+    private long written;
+    private long lastHeardUs;
+    private boolean armed;
+
+    public CounterConnection(Loop loop, SocketAddress to, long timeOutUs, Budget budget, Owner owner)
+            throws IOException {
+        super(loop, to, MOST_BYTES, budget);
+        this.owner = owner;
+        this.timeOutUs = timeOutUs;
+        this.lastHeardUs = loop.nowUs();
+    }
+
+    /** False if the call cannot be written. */
+    public boolean call(long name, double amount, long lifeMs) {
+        int before = out.size();
+        if (!CounterProtocol.call(name, amount, lifeMs, out)) {
+            return false;
+        }
+        if (unanswered.isEmpty()) {
+            lastHeardUs = loop.nowUs();
+        }
+        put += out.size() - before;
+        Call call = new Call(name, loop.nowUs(), put);
+        unanswered.add(call);
+        awaited.add(call);
+        flush();
+        if (!armed) {
+            armed = true;
+            loop.in(timeOutUs, this::timeOut);
+        }
+        return true;
+    }
+
+    /** Silent for that long with a call unanswered: it may be of no use any more. */
+    public boolean isStuck(long forUs) {
+        return !unanswered.isEmpty() && loop.nowUs() - lastHeardUs > forUs;
+    }
+
+    private void timeOut() {
+        armed = false;
+        if (isClosed()) {
+            return;
+        }
+        if (!isConnected() && !awaited.isEmpty() && loop.nowUs() - awaited.peek().sentUs >= timeOutUs) {
+            ended(); // never came up: nothing was written, and nothing shall be later
+            close();
+            return;
+        }
+        while (!awaited.isEmpty() && loop.nowUs() - awaited.peek().sentUs >= timeOutUs) {
+            report(awaited.poll(), Outcome.TIMED_OUT, 0);
+        }
+        if (!awaited.isEmpty()) {
+            armed = true;
+            loop.at(awaited.peek().sentUs + timeOutUs, this::timeOut);
+        }
+    }
+
+    private void report(Call call, Outcome outcome, double total) {
+        if (!call.reported) {
+            call.reported = true;
+            owner.counted(call.name, outcome, total, loop.nowUs() - call.sentUs);
+        }
+    }
+
+    @Override
+    protected void wrote(int count) {
+        written += count;
+    }
+
+    @Override
+    protected void received() {
+        lastHeardUs = loop.nowUs();
+        try {
+            while (!isClosed() && reader.read(in)) {
+                Call call = unanswered.poll();
+                if (call == null) {
+                    close();
+                    return;
+                }
+                awaited.remove(call);
+                boolean added = reader.status() == 200;
+                double total = added ? CounterProtocol.total(in, reader) : 0;
+                boolean keeps = reader.keepAlive();
+                reader.done(in);
+                report(call, added ? Outcome.OK : Outcome.FULL, total);
+                if (!keeps && !isClosed()) {
+                    ended();
+                    close();
+                }
+            }
+        } catch (BadMessage e) {
+            ended();
+            close();
+        }
+    }
+
+    /** What was written whole may have been added, or may yet be; the rest never is. */
+    @Override
+    protected void ended() {
+        while (!unanswered.isEmpty()) {
+            Call call = unanswered.poll();
+            report(call, call.writtenAt <= written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, 0);
+        }
+        awaited.clear();
+    }
+
+    public void giveUp() {
+        if (!isClosed()) {
+            ended();
+            close();
+        }
+    }
+
+    @Override
+    protected void released() {
+        owner.released(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/hopdrum/frontdoor/memory/OpenRpc.java
@@ -0,0 +1,18 @@
+package hopdrum.frontdoor.memory;
+
+import hopdrum.policy.Policy;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One RPC under way: its handle at Policy, the client that waits for it, its call-outs. */
+public final class OpenRpc {
+    public final long id;
+    public final List<CallOut> callOuts = new ArrayList<>(1);
+    public ClientConnection client;     // null once it has its answer, or has left
+    public Policy.Rpc handle;
+
+    OpenRpc(long id, ClientConnection client) {
+        this.id = id;
+        this.client = client;
+    }
+}
--- a/src/main/java/hopdrum/benchlink/SettingsReader.java
+++ b/src/main/java/hopdrum/host/SettingsReader.java
@@ -1,28 +1,19 @@
-package hopdrum.benchlink;
+package hopdrum.host;
 
-import hopdrum.host.Method;
-import hopdrum.host.Plan;
-import hopdrum.host.Settings;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-/** Reads the wire's path=value lines into Settings; skips keys it does not know, names those it lacks. */
-final class SettingsReader {
-    private final Map<String, String> pairs = new HashMap<>();
+/** Reads settings, given as pairs of path and value, into Settings; skips keys it does not know, names those it lacks. */
+public final class SettingsReader {
+    private final Map<String, String> pairs;
 
-    private SettingsReader(String text) {
-        for (String line : text.split("\n")) {
-            int eq = line.indexOf('=');
-            if (eq > 0) {
-                pairs.put(line.substring(0, eq), line.substring(eq + 1).strip());
-            }
-        }
+    private SettingsReader(Map<String, String> pairs) {
+        this.pairs = pairs;
     }
 
-    static Settings read(String text) {
-        return new SettingsReader(text).settings();
+    public static Settings read(Map<String, String> pairs) {
+        return new SettingsReader(pairs).settings();
     }
 
     private Settings settings() {
