--- a/src/main/java/hopdrum/Main.java
+++ b/src/main/java/hopdrum/Main.java
@@ -16,9 +16,11 @@
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "serve" -> exitUnlessZero(Server.serve(System.getenv("LB_CONFIG")));
+            case "check" -> exitUnlessZero(Server.check(System.getenv("LB_CONFIG")));
             case "benchlink" -> exitUnlessZero(benchlink());
             default -> {
                 System.err.println("usage: hopdrum serve       (a front door on sockets, as LB_CONFIG describes)\n"
+                        + "       hopdrum check       (read LB_CONFIG and warm up, without a socket)\n"
                         + "       hopdrum benchlink   (decide on the bench's wire, standard input to output)");
                 System.exit(2);
             }
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
@@ -12,20 +12,24 @@
     private Server() {
     }
 
+    /** Reads the configuration and warms up, as serve() does, and ends there; no socket is opened. */
+    public static int check(String configFile) {
+        Config config = config(configFile, "check");
+        if (config == null) {
+            return 1;
+        }
+        Warmup.run(config);
+        return 0;
+    }
+
     /** Runs until SIGTERM; the exit code is the process's. */
     public static int serve(String configFile) {
-        Config config;
-        try {
-            if (configFile == null) {
-                throw new IllegalArgumentException("LB_CONFIG does not name the configuration");
-            }
-            config = Config.read(Path.of(configFile));
-        } catch (IllegalArgumentException e) {
-            String why = e instanceof InvalidPathException ? "LB_CONFIG is no path" : e.getMessage();
-            System.err.println("hopdrum serve: " + why.replace('\n', ' '));
+        Config config = config(configFile, "serve");
+        if (config == null) {
             return 1;
         }
         try {
+            Warmup.run(config);
             Loop loop = new Loop();
             FrontDoor door = new FrontDoor(config, loop);
             loop.whenAsked(door::stop);
@@ -44,6 +48,20 @@
         }
     }
 
+    /** Null, and one line said, where the configuration cannot be used. */
+    private static Config config(String configFile, String command) {
+        try {
+            if (configFile == null) {
+                throw new IllegalArgumentException("LB_CONFIG does not name the configuration");
+            }
+            return Config.read(Path.of(configFile));
+        } catch (IllegalArgumentException e) {
+            String why = e instanceof InvalidPathException ? "LB_CONFIG is no path" : e.getMessage();
+            System.err.println("hopdrum " + command + ": " + why.replace('\n', ' '));
+            return null;
+        }
+    }
+
     /** Runs as the process is told to end: it ends once the loop has, and as a success. */
     private static void end(Loop loop, Thread loopThread) {
         loop.ask();
--- /dev/null
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
@@ -0,0 +1,195 @@
+package hopdrum.frontdoor.lifecycle;
+
+import static hopdrum.frontdoor.wire.HttpReader.ascii;
+
+import hopdrum.frontdoor.wire.BackendAnswer;
+import hopdrum.frontdoor.wire.BadMessage;
+import hopdrum.frontdoor.wire.CounterProtocol;
+import hopdrum.frontdoor.wire.HttpReader;
+import hopdrum.frontdoor.wire.HttpWriter;
+import hopdrum.frontdoor.wire.Ring;
+import hopdrum.frontdoor.wire.RpcHead;
+import hopdrum.host.Host;
+import hopdrum.host.Listed;
+import hopdrum.host.Outcome;
+import hopdrum.policy.Policy;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Loads and compiles the ordinary path before the first client comes: guards against the first RPCs of a process
+ * taking so long that their calls on the counter time out. Parsers, writers and a Policy of its own handle made-up
+ * RPCs in made-up time, without a socket; nothing of it is kept.
+ */
+public final class Warmup implements Host {
+    private static final int MOST_RPCS = 500;
+    private static final long MOST_NANOS = 400_000_000L;
+    private static final Ring.Account NOBODY = byBytes -> { };
+
+    private static final int CUSTOMERS = 10;
+    private static final byte[] ANSWER = ascii("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 8\r\n\r\n12345678");
+    private static final byte[] TOTAL = ascii("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n12.5");
+
+    private final Config config;
+    private final List<byte[]> requests = new ArrayList<>();
+    private final RpcHead head;
+    private final Ring client = new Ring(1 << 17, NOBODY);
+    private final Ring toClient = new Ring(1 << 17, NOBODY);
+    private final Ring backend = new Ring(1 << 17, NOBODY);
+    private final Ring counter = new Ring(1 << 16, NOBODY);
+    private final HttpReader request = new HttpReader(HttpReader.Kind.REQUEST);
+    private final HttpReader answer = new HttpReader(HttpReader.Kind.RESPONSE);
+    private final Deque<Runnable> later = new ArrayDeque<>();
+    private final Map<Long, Policy.Rpc> open = new HashMap<>();
+    private final Policy policy;
+    private long nowUs = 1_000_000_000_000L;
+    private long wakeAtUs = Long.MAX_VALUE;
+
+    private Warmup(Config config) {
+        this.config = config;
+        head = new RpcHead(config.methods(), config.plans());
+        compose();
+        policy = new Policy(config.settings(), 1, this);
+        policy.listed(Listed.Form.CACHED, List.of(listed(1), listed(2), listed(3)));
+    }
+
+    private static Listed listed(long backend) {
+        return new Listed(backend, 0, 0, 0, Listed.State.READY, 1, 0);
+    }
+
+    public static void run(Config config) {
+        long start = System.nanoTime();
+        Warmup warmup = new Warmup(config);
+        int rpcs = 0;
+        try {
+            while (rpcs < MOST_RPCS && System.nanoTime() - start < MOST_NANOS) {
+                warmup.rpc(rpcs++);
+            }
+        } catch (BadMessage e) {
+            throw new IllegalStateException("a message of this program's own cannot be read", e);
+        }
+        new Log("warmup").info("ready to serve", rpcs + " RPCs in " + (System.nanoTime() - start) / 1_000_000 + " ms");
+    }
+
+    private void rpc(int number) throws BadMessage {
+        put(client, requests.get(number % requests.size()));
+        request.read(client);
+        head.read(client, request);
+        head.isMarked(client, request);
+        long id = number;
+        Policy.Rpc rpc = policy.take(id, head.method, head.customer, head.plan, head.units, head.firstGateway,
+                head.gateways, head.leftMs * 1000);
+        open.put(id, rpc);
+        for (int i = 0; i < 4; i++) {
+            nowUs += 500;
+            for (int n = later.size(); n > 0; n--) {
+                later.poll().run();
+            }
+            if (nowUs >= wakeAtUs) {
+                wakeAtUs = Long.MAX_VALUE;
+                policy.wake();
+            }
+        }
+        open.values().removeIf(Policy.Rpc::over);
+        request.done(client);
+        toClient.skip(toClient.size());
+    }
+
+    /** One of each method and plan, from a few customers each. */
+    private void compose() {
+        for (int i = 0; i < CUSTOMERS; i++) {
+            for (int plan = 0; plan < config.plans().size(); plan++) {
+                for (String method : config.methods()) {
+                    requests.add(ascii("POST /api HTTP/1.1\r\nHost: backend\r\nX-Trace-Id: 9b1f03aa5c7e2d41\r\nX-Qos: "
+                            + method + "\r\nPlan: " + config.plans().get(plan) + "\r\nCookie: key=00000000000000"
+                            + (char) ('0' + i) + (char) ('0' + plan % 10)
+                            + "\r\nX-Expires-In-Ms: 2000\r\nIdempotency-Key: 5c0f6e1a\r\nContent-Length: 8\r\n"
+                            + "Quota-Info: units=1,spread=2,first=0\r\n\r\n12345678"));
+                }
+            }
+        }
+    }
+
+    private static void put(Ring ring, byte[] bytes) {
+        ring.reserve(bytes.length);
+        ring.put(bytes);
+    }
+
+    @Override
+    public long nowUs() {
+        return nowUs;
+    }
+
+    @Override
+    public void callOut(long id, long to, long timeOutUs) {
+        RpcHead.forward(client, request, timeOutUs / 1000, backend);
+        backend.skip(backend.size());
+        later.add(() -> {
+            Policy.Rpc rpc = open.get(id);
+            if (rpc != null) {
+                put(backend, ANSWER);
+                try {
+                    answer.read(backend);
+                } catch (BadMessage e) {
+                    throw new IllegalStateException(e);
+                }
+                Outcome outcome = BackendAnswer.outcome(backend, answer);
+                HttpWriter.answer(backend, answer, false, toClient);
+                float[] report = BackendAnswer.report(backend, answer, config.settings().reportFields());
+                answer.done(backend);
+                rpc.callOutEnded(0, outcome, 500, true, 0, report);
+            }
+        });
+    }
+
+    @Override
+    public void cancelCallOut(long id, int callOut) {
+        // every call-out here is answered
+    }
+
+    @Override
+    public void pushBack(long id, long retryAfterUs) {
+        HttpWriter.plain(429, retryAfterUs, false, toClient);
+    }
+
+    @Override
+    public void abort(long id) {
+        HttpWriter.plain(500, 0, false, toClient);
+    }
+
+    @Override
+    public void addToCount(long name, double units, long timeToLiveUs) {
+        CounterProtocol.call(name, units, timeToLiveUs / 1000, counter);
+        counter.skip(counter.size());
+        later.add(() -> {
+            put(counter, TOTAL);
+            try {
+                answer.read(counter);
+                double total = CounterProtocol.total(counter, answer);
+                answer.done(counter);
+                policy.counted(name, Outcome.OK, total, 500);
+            } catch (BadMessage e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
+    @Override
+    public void tell(int gateway, byte[] message) {
+        // nobody listens
+    }
+
+    @Override
+    public void wakeIn(long delayUs) {
+        wakeAtUs = nowUs + delayUs;
+    }
+
+    @Override
+    public void followList() {
+        // the list is made up
+    }
+}
