--- a/src/main/java/hopdrum/benchlink/Instance.java
+++ b/src/main/java/hopdrum/benchlink/Instance.java
@@ -190,6 +190,14 @@
         }
     }
 
+    /** One that is answered on a count's or a timer's news is over at once, unless call-outs are still out. */
+    private void answered(long id) {
+        Policy.Rpc rpc = open.get(id);
+        if (rpc != null && rpc.over()) {
+            open.remove(id);
+        }
+    }
+
     private static long unsigned(ByteBuffer in) {
         return in.getInt() & 0xffffffffL;
     }
@@ -254,11 +262,13 @@
     @Override
     public void pushBack(long rpc, long retryAfterUs) {
         reply.record(81, number, 13).putInt((int) rpc).putInt((int) retryAfterUs);
+        answered(rpc);
     }
 
     @Override
     public void abort(long rpc) {
         reply.record(82, number, 9).putInt((int) rpc);
+        answered(rpc);
     }
 
     @Override
--- a/src/main/java/hopdrum/frontdoor/Counter.java
+++ b/src/main/java/hopdrum/frontdoor/Counter.java
@@ -13,6 +13,7 @@
     private static final Log LOG = new Log("counter");
     private static final int CONNECTIONS = 2;
     private static final long STUCK_US = 1_000_000;
+    private static final long MOST_STUCK_US = 8_000_000;
 
     /** Who is told how calls end. */
     interface Owner {
@@ -24,6 +25,7 @@
     private final long timeOutUs;
     private final Budget budget;
     private final Owner owner;
+    private long stuckUs = STUCK_US;
     private final CounterConnection[] connections = new CounterConnection[CONNECTIONS];
 
     Counter(Loop loop, SocketAddress address, long timeOutUs, Budget budget, Owner owner) {
@@ -52,20 +54,28 @@
 
     @Override
     public void counted(long name, Outcome outcome, double total, long tookUs) {
-        if (outcome != Outcome.OK) {
+        if (outcome == Outcome.OK) {
+            stuckUs = STUCK_US;
+        } else {
             LOG.warning("a call to the counter ended as " + outcome, null);
         }
         owner.counted(name, outcome, total, tookUs);
     }
 
-    /** Guards against a connection that stands open and silent (a counter that vanished): a new one takes its place. */
+    /**
+     * Guards against a connection that stands open and silent (a counter that vanished): a new one takes its place.
+     * Later each time, since the counter may hold the old ones still, and it holds 32 at most.
+     */
     private void check() {
+        boolean replaced = false;
         for (CounterConnection connection : connections) {
-            if (connection != null && connection.isStuck(STUCK_US)) {
+            if (connection != null && connection.isStuck(stuckUs)) {
                 LOG.warning("a connection to the counter is silent and replaced", null);
                 connection.giveUp();
+                replaced = true;
             }
         }
+        stuckUs = replaced ? Math.min(MOST_STUCK_US, 2 * stuckUs) : stuckUs;
         loop.in(STUCK_US / 4, this::check);
     }
 
--- a/src/main/java/hopdrum/frontdoor/Discovery.java
+++ b/src/main/java/hopdrum/frontdoor/Discovery.java
@@ -32,6 +32,7 @@
     private Connection watch;
     private Connection fetch;
     private long lastHeardUs;
+    private boolean wholeNeeded;
     private boolean closed;
 
     Discovery(Loop loop, InetSocketAddress address, long version, Budget budget, Owner owner) {
@@ -58,6 +59,9 @@
             lastHeardUs = loop.nowUs();
             watch = open(true);
         }
+        if (wholeNeeded && fetch == null) {
+            fetch = open(false);
+        }
         loop.in(AGAIN_US, this::keepUp);
     }
 
@@ -94,9 +98,11 @@
                 return; // the watch has told more since
             }
             owner.told(message, whole);
+            wholeNeeded &= !whole;
             version = seq.longValue();
         } catch (IllegalArgumentException e) {
             LOG.warning("a line from discovery cannot be read, the whole list is fetched", e.getMessage());
+            wholeNeeded = true;
             if (isWatch && fetch == null) {
                 fetch = open(false);
             }
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -158,6 +158,10 @@
     public void left(ClientConnection client) {
         OpenRpc rpc = client.rpc();
         rpc.client = null;
+        if (rpc.handle == null) {
+            rpcs.drop(rpc); // taking it failed
+            return;
+        }
         rpc.handle.clientLeft();
         rpcs.closeIfOver(rpc);
     }
@@ -167,7 +171,9 @@
         ClientConnection client = callOut.rpc.client;
         if (client != null) {
             callOut.rpc.client = null;
-            client.answer(bytes, answer);
+            if (!client.answer(bytes, answer)) {
+                client.close(); // it has not taken the answers before this one
+            }
         }
     }
 
@@ -284,12 +290,12 @@
 
     private void answer(long id, int status, long retryAfterUs) {
         OpenRpc rpc = rpcs.get(id);
-        if (rpc.client != null) {
+        if (rpc != null && rpc.client != null) {
             ClientConnection client = rpc.client;
             rpc.client = null;
             client.answer(status, retryAfterUs, false);
         }
-        if (rpc.handle != null) { // else take() looks when it has the handle
+        if (rpc != null && rpc.handle != null) { // else take() looks when it has the handle
             rpcs.closeIfOver(rpc);
         }
     }
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Loop.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Loop.java
@@ -36,6 +36,7 @@
     }
 
     private static final Log LOG = new Log("loop");
+    private static final long AT_ONCE_US = 50;
     private final Selector selector;
     private final PriorityQueue<Timer> timers = new PriorityQueue<>( // emptied as they come due
             Comparator.comparingLong((Timer t) -> t.atUs).thenComparingLong(t -> t.order));
@@ -45,6 +46,8 @@
     private final long wallAtStartUs = System.currentTimeMillis() * 1000;
     private final long nanosAtStart = System.nanoTime();
     private long nowUs = wallAtStartUs;
+    private long selectedUs = nowUs;     // when the selector was entered, then when it last returned
+    private boolean returned;
     private long unseenSinceUs = nowUs;
     private long orders;
     private volatile boolean asked;
@@ -101,14 +104,16 @@
     public void run() throws IOException {
         while (!stopped) {
             long waitUs = timers.isEmpty() ? 1_000_000 : timers.peek().atUs - tick();
-            long beforeUs = nowUs;
+            unseenSinceUs = selectedUs;
+            selectedUs = nowUs;
+            returned = false;
             if (!soon.isEmpty() || waitUs <= 0) {
                 selector.selectNow(this::ready);
             } else {
                 selector.select(this::ready, (waitUs + 999) / 1000);
             }
             tick();
-            unseenSinceUs = beforeUs;
+            hasReturned();
             if (asked && whenAsked != null) {
                 Runnable what = whenAsked;
                 whenAsked = null;
@@ -132,18 +137,31 @@
     }
 
     private void ready(SelectionKey key) {
-        long beforeUs = nowUs;
         tick();
+        hasReturned();
         Ready owner = (Ready) key.attachment();
         try {
             owner.ready(key);
         } catch (IOException | RuntimeException e) {
-            owner.broken(e);
+            guarded(() -> owner.broken(e));
         }
-        unseenSinceUs = beforeUs;
         runSoon();
     }
 
+    /**
+     * Guards time limits that others count against work that kept this thread away: what was ready at once came in
+     * at any time since the selector returned before; what had to be waited for came in now.
+     */
+    private void hasReturned() {
+        if (!returned) {
+            returned = true;
+            if (nowUs - selectedUs > AT_ONCE_US) {
+                unseenSinceUs = nowUs;
+            }
+            selectedUs = nowUs;
+        }
+    }
+
     private void guarded(Runnable what) {
         try {
             what.run();
