--- /dev/null
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
@@ -0,0 +1,397 @@
+package hopdrum.frontdoor;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import hopdrum.frontdoor.lifecycle.Config;
+import hopdrum.frontdoor.lifecycle.Loop;
+import hopdrum.frontdoor.lifecycle.Warmup;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The front door on loopback, among tiny stand-ins for what it speaks with. */
+@Timeout(20)
+class FrontDoorStoryTest {
+    private static final String SETTINGS = """
+            {"Lanes":[{"Name":"checkout","AimUs":2000000,"GiveUpUs":4000000,"Effect":"dedup","Group":"all","WindowUs":6000000},
+                      {"Name":"order","AimUs":2000000,"GiveUpUs":4000000,"Effect":"fragile"}],
+             "Packages":[{"Name":"team","PerSecond":1.0,"Burst":2.0}],"NInstances":1,"Ordinal":0,"TickUs":1000,
+             "FamilyInfo":{"MayCount":true,"CountWaitUs":50000},"Azs":["z"],"Flavors":["m"],
+             "Bounds":{"AttemptsCap":1,"Cancel":true,"RetryAfter":true,"MaxRetryAfterUs":900000,"SecondCopies":true,
+             "DialTimeoutUs":250000,"ConnIdleUs":400000},"Report":{"Fields":["depth"]},
+             "Rules":{"ColdFrom":0.2,"WarmAfterUs":1000000,"OverloadFactor":2,"FallUs":1000000}}""";
+    private static final String HANGS = "";
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private final StandIn backend = new StandIn(request -> ok("for " + field(request, "X-Trace-Id")));
+    private final StandIn counter = new StandIn(request -> ok("1"));
+    private final StandIn discovery = new StandIn(request -> HANGS);
+    private int sockets = 1024;
+    private Loop loop;
+    private FrontDoor door;
+    private CompletableFuture<Void> running;
+
+    /** Answers each request of each connection; what it was asked can be waited for. */
+    private final class StandIn implements AutoCloseable {
+        final ServerSocket listener;
+        final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+        final BlockingQueue<Integer> ends = new LinkedBlockingQueue<>();
+        final List<Socket> sockets = new ArrayList<>();
+        volatile Function<String, String> answer;
+
+        StandIn(Function<String, String> answer) {
+            this.answer = answer;
+            try {
+                listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+            open.add(this);
+            thread(() -> {
+                while (true) {
+                    Socket socket = listener.accept();
+                    synchronized (sockets) {
+                        sockets.add(socket);
+                    }
+                    thread(() -> talk(socket));
+                }
+            });
+        }
+
+        private void talk(Socket socket) throws IOException {
+            int served = 0;
+            try (socket) {
+                for (String request; (request = message(socket.getInputStream())) != null; served++) {
+                    requests.add(request);
+                    String said = answer.apply(request);
+                    if (said == null) {
+                        return; // breaks the connection after a whole request
+                    }
+                    socket.getOutputStream().write(said.getBytes(StandardCharsets.ISO_8859_1));
+                }
+            } finally {
+                ends.add(served);
+            }
+        }
+
+        void say(String text) throws IOException {
+            synchronized (sockets) {
+                sockets.get(sockets.size() - 1).getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            }
+        }
+
+        String asked() throws InterruptedException {
+            return requests.poll(10, TimeUnit.SECONDS);
+        }
+
+        String address() {
+            return "127.0.0.1:" + listener.getLocalPort();
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+            synchronized (sockets) {
+                for (Socket socket : sockets) {
+                    socket.close();
+                }
+            }
+        }
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    private static void thread(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // the other side is gone, or the story is over
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** One message with its body, or null at the end. */
+    private static String message(InputStream in) throws IOException {
+        StringBuilder text = new StringBuilder();
+        while (text.indexOf("\r\n\r\n") < 0) {
+            int b = in.read();
+            if (b < 0) {
+                return null;
+            }
+            text.append((char) b);
+        }
+        String length = field(text.toString(), "Content-Length");
+        byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
+        return text + new String(body, StandardCharsets.ISO_8859_1);
+    }
+
+    private static String field(String message, String name) {
+        return message.lines().filter(l -> l.startsWith(name + ": ")).map(l -> l.substring(name.length() + 2)).findFirst()
+                .orElse(null);
+    }
+
+    private static String ok(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static String rpc(String trace, String method, String more) {
+        return "POST /api HTTP/1.1\r\nX-Trace-Id: " + trace + "\r\nX-Qos: " + method + "\r\nPlan: team\r\nCookie: key=0000000000000007\r\n"
+                + "X-Expires-In-Ms: 4000\r\nIdempotency-Key: k\r\nQuota-Info: units=1,spread=1,first=0\r\n" + more + "\r\n";
+    }
+
+    private String host(String name, String address, String health) {
+        return "{\"host\":\"" + name + "\",\"dial\":\"" + address + "\",\"site\":\"z\",\"class\":\"m\",\"block\":0,\"health\":\"" + health
+                + "\",\"share\":1.0,\"born_ms\":0}";
+    }
+
+    private String config(String hosts) {
+        return "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address() + "\",\"counter\":\"" + counter.address()
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"memory_mb\":192,\"sockets\":" + sockets
+                + "},\"known\":{\"seq\":41,\"whole\":true,\"hosts\":[" + hosts + "]},\"settings\":" + SETTINGS + "}";
+    }
+
+    private void start() throws IOException {
+        start(host("b", backend.address(), "in_service"));
+    }
+
+    private void start(String hosts) throws IOException {
+        loop = new Loop();
+        door = new FrontDoor(Config.parse(config(hosts)), loop);
+        running = new CompletableFuture<>();
+        thread(() -> {
+            try {
+                loop.run();
+                door.close();
+                loop.close();
+                running.complete(null);
+            } catch (Throwable e) {
+                running.completeExceptionally(e);
+            }
+        });
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        if (running != null && !running.isDone()) {
+            loop.whenAsked(loop::stop);
+            loop.ask();
+            running.get(10, TimeUnit.SECONDS);
+        }
+        for (AutoCloseable closeable : open) {
+            closeable.close();
+        }
+    }
+
+    private final class Client {
+        final Socket socket;
+
+        Client() throws IOException {
+            socket = new Socket();
+            socket.connect(door.address());
+            socket.setSoTimeout(10_000);
+        }
+
+        Client send(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return this;
+        }
+
+        String hears() throws IOException {
+            return message(socket.getInputStream());
+        }
+    }
+
+    private String ask(String text) throws IOException {
+        Client client = new Client().send(text);
+        String answer = client.hears();
+        client.socket.close();
+        return answer;
+    }
+
+    @Test
+    void anRpcIsCountedOnceSentOnAndItsAnswerComesBackUnchanged() throws Exception {
+        start();
+        assertThat(ask("GET /health/ready HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 200 ");
+        String body = "b".repeat(64 << 10);
+        backend.answer = request -> ok(request.substring(request.indexOf("\r\n\r\n") + 4));
+        assertThat(ask(rpc("t1", "checkout", "Content-Length: 65536\r\n") + body)).startsWith("HTTP/1.1 200 ").endsWith(body);
+        assertThat(counter.asked()).contains("delta=1&life_ms=60000");
+        assertThat(backend.asked()).contains("X-Trace-Id: t1\r\n").contains("Idempotency-Key: k\r\n").contains("X-Expires-In-Ms: ");
+    }
+
+    @Test
+    void pipelinedRpcsAreAnsweredInTheirOrderOverOneKeptConnection() throws Exception {
+        start();
+        Client client = new Client().send(rpc("t1", "checkout", "") + rpc("t2", "order", ""));
+        assertThat(client.hears()).endsWith("for t1");
+        assertThat(client.hears()).endsWith("for t2");
+        client.socket.close();
+        assertThat(backend.ends.poll(10, TimeUnit.SECONDS)).as("closed before the backend's own idle limit").isEqualTo(2);
+    }
+
+    @Test
+    void aCustomerBeyondItsQuotaIsPushedBackWithATimeAndNothingIsSent() throws Exception {
+        counter.answer = request -> ok("99");
+        start();
+        assertThat(ask(rpc("t1", "order", ""))).startsWith("HTTP/1.1 429 ").contains("Retry-After: 0.");
+        assertThat(counter.asked()).contains("delta=1&");
+        assertThat(counter.asked()).contains("delta=-1&");
+        assertThat(backend.requests).isEmpty();
+    }
+
+    @Test
+    void aSilentCounterIsNotWaitedForAndALateAnswerIsNoOneElses() throws Exception {
+        counter.answer = request -> HANGS;
+        start();
+        assertThat(ask(rpc("t1", "checkout", ""))).endsWith("for t1");
+    }
+
+    @Test
+    void whatNeverRanIsPushedBackAndWhatMayHaveRunIsAborted() throws Exception {
+        start();
+        backend.answer = request -> "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
+        assertThat(ask(rpc("t1", "order", ""))).startsWith("HTTP/1.1 503 ");
+        backend.answer = request -> null;
+        assertThat(ask(rpc("t2", "order", ""))).as("broken after the last byte").startsWith("HTTP/1.1 500 ");
+        assertThat(backend.asked()).contains("t1");
+        assertThat(backend.asked()).contains("t2");
+        assertThat(backend.requests).as("nothing is sent again").isEmpty();
+    }
+
+    @Test
+    void aBackendThatRefusesConnectionsNeverRanIt() throws Exception {
+        String address = backend.address();
+        backend.close();
+        start(host("b", address, "in_service"));
+        assertThat(ask(rpc("t1", "order", ""))).startsWith("HTTP/1.1 503 ");
+    }
+
+    @Test
+    void anAnswerCutShortIsNotPassedOn() throws Exception {
+        start();
+        backend.answer = request -> {
+            thread(() -> {
+                backend.say("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+                backend.sockets.get(0).shutdownOutput();
+            });
+            return HANGS;
+        };
+        assertThat(ask(rpc("t1", "order", ""))).startsWith("HTTP/1.1 500 ");
+    }
+
+    @Test
+    void aClientThatLeavesTakesItsCallOutAlong() throws Exception {
+        backend.answer = request -> HANGS;
+        start();
+        Client client = new Client().send(rpc("t1", "order", ""));
+        assertThat(backend.asked()).contains("t1");
+        client.socket.close();
+        assertThat(backend.ends.poll(10, TimeUnit.SECONDS)).as("the backend sees its connection end").isEqualTo(1);
+    }
+
+    @Test
+    void badInputIsAnsweredOnceAndTheConnectionCloses() throws Exception {
+        start();
+        for (String[] bad : new String[][] {{"nonsense\r\n\r\n", "400"}, {"GET /nowhere HTTP/1.1\r\n\r\n", "404"},
+                {rpc("t", "nothing", ""), "400"}, {rpc("t", "checkout", "").replace("Idempotency-Key", "X"), "400"},
+                {"GET /api HTTP/1.1\r\nX: " + "x".repeat(9000), "431"}, {rpc("t", "order", "Content-Length: 70000\r\n"), "413"}}) {
+            Client client = new Client().send(bad[0]);
+            assertThat(client.hears()).startsWith("HTTP/1.1 " + bad[1]).contains("Connection: close");
+            assertThat(client.hears()).isNull();
+        }
+        assertThat(backend.requests).isEmpty();
+    }
+
+    @Test
+    void aSenderThatWaitsForLeaveGetsIt() throws Exception {
+        start();
+        Client client = new Client().send(rpc("t1", "order", "Expect: 100-continue\r\nContent-Length: 2\r\n"));
+        assertThat(client.hears()).startsWith("HTTP/1.1 100 ");
+        assertThat(client.send("ab").hears()).endsWith("for t1");
+    }
+
+    @Test
+    void aBackendThatDrainsGetsNothingNewAndALineThatIsBrokenFetchesTheList() throws Exception {
+        StandIn second = new StandIn(request -> ok("second"));
+        start();
+        assertThat(discovery.asked()).contains("watch=1&after=41");
+        String broken = "{\"seq\":42,\n";
+        String whole = "{\"seq\":43,\"whole\":true,\"hosts\":[" + host("b", backend.address(), "terminating") + ","
+                + host("c", second.address(), "in_service") + "]}";
+        discovery.answer = request -> ok(whole);
+        discovery.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(broken.length()) + "\r\n" + broken + "\r\n");
+        assertThat(discovery.asked()).startsWith("GET /registry/instances HTTP/1.1");
+        while (!ask(rpc("t1", "checkout", "")).endsWith("second")) {
+            assertThat(second.requests).isEmpty(); // the list is still on its way
+        }
+        assertThat(ask(rpc("t2", "checkout", ""))).endsWith("second");
+    }
+
+    @Test
+    void anIdleClientMakesRoomForANewOne() throws Exception {
+        sockets = 64 + 10; // six of them for clients
+        start();
+        Client first = new Client();
+        for (int i = 0; i < 6; i++) {
+            assertThat(new Client().send("GET /health/ready HTTP/1.1\r\n\r\n").hears()).startsWith("HTTP/1.1 200 ");
+        }
+        assertThat(first.hears()).isNull();
+    }
+
+    @Test
+    void onSigtermWhatWasTakenIsFinishedAndTheLoopEnds() throws Exception {
+        start();
+        CompletableFuture<Void> leave = new CompletableFuture<>();
+        backend.answer = request -> {
+            leave.join();
+            return ok("late");
+        };
+        Client taken = new Client().send(rpc("t1", "order", ""));
+        assertThat(backend.asked()).contains("t1");
+        loop.whenAsked(door::stop);
+        loop.ask();
+        String ready;
+        do {
+            ready = ask("GET /health/ready HTTP/1.1\r\n\r\n");
+        } while (ready.startsWith("HTTP/1.1 200 "));
+        assertThat(ready).as("still accepted").startsWith("HTTP/1.1 503 ").contains("Connection: close");
+        leave.complete(null);
+        assertThat(taken.hears()).contains("Connection: close").endsWith("late");
+        running.get(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aConfigurationThatCannotBeUsedIsNamedInOneLine() throws IOException {
+        String good = config(host("b", backend.address(), "in_service"));
+        Config config = Config.parse(good);
+        assertThat(config.methods()).containsExactly("checkout", "order");
+        assertThat(config.settings().methods().get(1).deadlineUs()).isEqualTo(4_000_000);
+        assertThat(config.listen()).isEqualTo(new InetSocketAddress("127.0.0.1", 0));
+        Warmup.run(config);
+        for (String[] bad : new String[][] {{"\"listen\"", "\"x\"", "listen"}, {"127.0.0.1:0", "localhost:0", "no address"},
+                {"AttemptsCap", "Attempts", "Bounds.AttemptsCap"}, {"\"dedup\"", "\"twice\"", "Effect"}, {"{\"name\"", "\"name\"", "JSON"}}) {
+            assertThatThrownBy(() -> Config.parse(good.replace(bad[0], bad[1]))).isInstanceOf(IllegalArgumentException.class)
+                    .hasMessageContaining(bad[2]).message().doesNotContain("\n");
+        }
+    }
+}
