--- a/src/main/java/hopdrum/Main.java
+++ b/src/main/java/hopdrum/Main.java
@@ -16,11 +16,11 @@
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "serve" -> exitUnlessZero(Server.serve(System.getenv("LB_CONFIG")));
-            case "check" -> exitUnlessZero(Server.check(System.getenv("LB_CONFIG")));
+            case "train" -> exitUnlessZero(Server.train(System.getenv("LB_CONFIG")));
             case "benchlink" -> exitUnlessZero(benchlink());
             default -> {
                 System.err.println("usage: hopdrum serve       (a front door on sockets, as LB_CONFIG describes)\n"
-                        + "       hopdrum check       (read LB_CONFIG and warm up, without a socket)\n"
+                        + "       hopdrum train       (start and end among nobody; the build makes its class archive so)\n"
                         + "       hopdrum benchlink   (decide on the bench's wire, standard input to output)");
                 System.exit(2);
             }
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
@@ -2,6 +2,7 @@
 
 import hopdrum.frontdoor.FrontDoor;
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 
@@ -12,14 +13,40 @@
     private Server() {
     }
 
-    /** Reads the configuration and warms up, as serve() does, and ends there; no socket is opened. */
-    public static int check(String configFile) {
-        Config config = config(configFile, "check");
+    /**
+     * A start, one look at readiness and one RPC, and the end, among nobody: so that the classes that a front door
+     * needs are loaded, for the archive that the JVM writes as it ends.
+     */
+    public static int train(String configFile) {
+        Config config = config(configFile, "train");
         if (config == null) {
             return 1;
         }
-        Warmup.run(config);
-        return 0;
+        try {
+            Warmup.run(config);
+            Loop loop = new Loop();
+            FrontDoor door = new FrontDoor(config, loop);
+            loop.whenAsked(loop::stop);
+            Thread client = new Thread(() -> {
+                try (Socket socket = new Socket()) {
+                    socket.connect(door.address());
+                    socket.getOutputStream().write(Warmup.examples(config));
+                    socket.shutdownOutput();
+                    socket.getInputStream().readAllBytes();
+                } catch (IOException e) {
+                    System.err.println("hopdrum train: " + e);
+                }
+                loop.ask();
+            }, "client");
+            client.start();
+            loop.run();
+            door.close();
+            loop.close();
+            return 0;
+        } catch (IOException e) {
+            System.err.println("hopdrum train: " + e);
+            return 1;
+        }
     }
 
     /** Runs until SIGTERM; the exit code is the process's. */
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
@@ -15,6 +15,7 @@
 import hopdrum.policy.Policy;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -114,6 +115,15 @@
         }
     }
 
+    /** A look at readiness and one RPC, as a client would write them. */
+    static byte[] examples(Config config) {
+        byte[] ready = ascii("GET /health/ready HTTP/1.1\r\n\r\n");
+        byte[] rpc = new Warmup(config).requests.get(0);
+        byte[] both = Arrays.copyOf(ready, ready.length + rpc.length);
+        System.arraycopy(rpc, 0, both, ready.length, rpc.length);
+        return both;
+    }
+
     private static void put(Ring ring, byte[] bytes) {
         ring.reserve(bytes.length);
         ring.put(bytes);
