--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -35,6 +35,7 @@
     private static final float[] NO_REPORT = {};
     private static final long ACCEPT_ON_US = 500_000;
     private static final long CHECK_US = 250_000;
+    private static final long TALLY_US = 10_000_000;
 
     private final Config config;
     private final Loop loop;
@@ -47,9 +48,23 @@
     private final Discovery discovery;
     private final Peers peers;
     private final Policy policy;
+    private final Tally tally = new Tally();
     private Loop.Timer wake;
     private boolean listKnown;
 
+    /** What happened since the last line that said so. */
+    private static final class Tally {
+        int taken;
+        int ok;
+        int pushedBack;
+        int aborted;
+        int left;
+
+        boolean isEmpty() {
+            return taken + ok + pushedBack + aborted + left == 0;
+        }
+    }
+
     public FrontDoor(Config config, Loop loop) throws IOException {
         this.config = config;
         this.loop = loop;
@@ -66,6 +81,7 @@
         discovery.start();
         clients = new Clients(loop, config.listen(), budget, this);
         loop.in(CHECK_US, this::check);
+        loop.in(TALLY_US, this::tell);
     }
 
     public SocketAddress address() throws IOException {
@@ -99,6 +115,16 @@
         loop.in(CHECK_US, this::check);
     }
 
+    private void tell() {
+        if (!tally.isEmpty()) {
+            LOG.info("in 10 s", "taken=" + tally.taken + " ok=" + tally.ok + " pushed_back=" + tally.pushedBack + " aborted="
+                    + tally.aborted + " left=" + tally.left + "; now open=" + rpcs.size() + " clients=" + budget.clients()
+                    + " backends=" + budget.backends());
+            tally.taken = tally.ok = tally.pushedBack = tally.aborted = tally.left = 0;
+        }
+        loop.in(TALLY_US, this::tell);
+    }
+
     /** SIGTERM: not ready, accepting on for a while, then what was taken is finished. */
     public void stop() {
         LOG.info("stopping", rpcs.size() + " RPCs under way");
@@ -148,6 +174,7 @@
         }
         OpenRpc rpc = rpcs.open(client);
         client.took(rpc);
+        tally.taken++;
         long leftUs = Math.max(1, head.leftMs * 1000 - client.ageUs());
         rpc.handle = policy.take(rpc.id, head.method, head.customer, head.plan, head.units, head.firstGateway,
                 head.gateways, leftUs);
@@ -158,6 +185,7 @@
     public void left(ClientConnection client) {
         OpenRpc rpc = client.rpc();
         rpc.client = null;
+        tally.left++;
         if (rpc.handle == null) {
             rpcs.drop(rpc); // taking it failed
             return;
@@ -171,6 +199,7 @@
         ClientConnection client = callOut.rpc.client;
         if (client != null) {
             callOut.rpc.client = null;
+            tally.ok++;
             if (!client.answer(bytes, answer)) {
                 client.close(); // it has not taken the answers before this one
             }
@@ -280,11 +309,13 @@
 
     @Override
     public void pushBack(long id, long retryAfterUs) {
+        tally.pushedBack++;
         answer(id, retryAfterUs > 0 ? 429 : 503, retryAfterUs);
     }
 
     @Override
     public void abort(long id) {
+        tally.aborted++;
         answer(id, 500, 0);
     }
 
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Link.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Link.java
@@ -20,7 +20,7 @@
     private final SelectionKey key;
     private boolean connected;
     private boolean closed;
-    private boolean failed;
+    private boolean breaking;      // it broke while it may not be told yet
     private boolean ended;
 
     /** An accepted connection. */
@@ -113,7 +113,7 @@
         if (!(e instanceof IOException)) {
             new Log("link").fault("a connection's handling failed", e);
         }
-        fail();
+        end();
     }
 
     private void read() throws IOException {
@@ -140,7 +140,7 @@
         }
         if (end && !closed) {
             ended = true;
-            fail();
+            end();
         } else if (!closed) {
             interest();
         }
@@ -154,9 +154,9 @@
         try {
             write();
         } catch (IOException e) {
-            if (!failed) {
-                failed = true;
-                loop.soon(this::fail);
+            if (!breaking) {
+                breaking = true;
+                loop.soon(this::end);
             }
         }
     }
@@ -192,7 +192,7 @@
         }
     }
 
-    private void fail() {
+    private void end() {
         if (!closed) {
             ended();
             close();
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
@@ -10,6 +10,8 @@
 public final class Server {
     private static final Log LOG = new Log("server");
 
+    private static volatile int exitCode = 1; // until the loop has ended as it should
+
     private Server() {
     }
 
@@ -68,6 +70,7 @@
             door.close();
             loop.close();
             LOG.info("ended", null);
+            exitCode = 0;
             return 0;
         } catch (IOException e) {
             System.err.println("hopdrum serve: " + e);
@@ -89,7 +92,7 @@
         }
     }
 
-    /** Runs as the process is told to end: it ends once the loop has, and as a success. */
+    /** Runs as the process is told to end: it ends once the loop has, and then as a success. */
     private static void end(Loop loop, Thread loopThread) {
         loop.ask();
         try {
@@ -97,6 +100,6 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        Runtime.getRuntime().halt(0);
+        Runtime.getRuntime().halt(exitCode);
     }
 }
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
@@ -36,7 +36,7 @@
     private static final byte[] TOTAL = ascii("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n12.5");
 
     private final Config config;
-    private final List<byte[]> requests = new ArrayList<>();
+    private final List<byte[]> rpcsAsSent = new ArrayList<>();
     private final RpcHead head;
     private final Ring client = new Ring(1 << 17, NOBODY);
     private final Ring toClient = new Ring(1 << 17, NOBODY);
@@ -73,11 +73,11 @@
         } catch (BadMessage e) {
             throw new IllegalStateException("a message of this program's own cannot be read", e);
         }
-        new Log("warmup").info("ready to serve", rpcs + " RPCs in " + (System.nanoTime() - start) / 1_000_000 + " ms");
+        new Log("warmup").info("warmed up", rpcs + " RPCs in " + (System.nanoTime() - start) / 1_000_000 + " ms");
     }
 
     private void rpc(int number) throws BadMessage {
-        put(client, requests.get(number % requests.size()));
+        put(client, rpcsAsSent.get(number % rpcsAsSent.size()));
         request.read(client);
         head.read(client, request);
         head.isMarked(client, request);
@@ -105,7 +105,7 @@
         for (int i = 0; i < CUSTOMERS; i++) {
             for (int plan = 0; plan < config.plans().size(); plan++) {
                 for (String method : config.methods()) {
-                    requests.add(ascii("POST /api HTTP/1.1\r\nHost: backend\r\nX-Trace-Id: 9b1f03aa5c7e2d41\r\nX-Qos: "
+                    rpcsAsSent.add(ascii("POST /api HTTP/1.1\r\nHost: backend\r\nX-Trace-Id: 9b1f03aa5c7e2d41\r\nX-Qos: "
                             + method + "\r\nPlan: " + config.plans().get(plan) + "\r\nCookie: key=00000000000000"
                             + (char) ('0' + i) + (char) ('0' + plan % 10)
                             + "\r\nX-Expires-In-Ms: 2000\r\nIdempotency-Key: 5c0f6e1a\r\nContent-Length: 8\r\n"
@@ -118,7 +118,7 @@
     /** A look at readiness and one RPC, as a client would write them. */
     static byte[] examples(Config config) {
         byte[] ready = ascii("GET /health/ready HTTP/1.1\r\n\r\n");
-        byte[] rpc = new Warmup(config).requests.get(0);
+        byte[] rpc = new Warmup(config).rpcsAsSent.get(0);
         byte[] both = Arrays.copyOf(ready, ready.length + rpc.length);
         System.arraycopy(rpc, 0, both, ready.length, rpc.length);
         return both;
--- a/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
@@ -1,6 +1,7 @@
 package hopdrum.frontdoor.memory;
 
 import hopdrum.frontdoor.lifecycle.Link;
+import hopdrum.frontdoor.lifecycle.Log;
 import hopdrum.frontdoor.lifecycle.Loop;
 import hopdrum.frontdoor.wire.BadMessage;
 import hopdrum.frontdoor.wire.BackendAnswer;
@@ -23,6 +24,7 @@
         void released(BackendConnection connection);
     }
 
+    private static final Log LOG = new Log("backends");
     private static final int MOST_BYTES = 128 << 10;
     private static final float[] NO_REPORT = {};
     private final Owner owner;
@@ -97,6 +99,7 @@
                 whole(reader.keepAlive() && written);
             }
         } catch (BadMessage e) {
+            LOG.warning("a backend's answer cannot be read", e.getMessage());
             broken(Outcome.ERROR);
             close();
         }
--- a/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
@@ -1,6 +1,7 @@
 package hopdrum.frontdoor.memory;
 
 import hopdrum.frontdoor.lifecycle.Link;
+import hopdrum.frontdoor.lifecycle.Log;
 import hopdrum.frontdoor.lifecycle.Loop;
 import hopdrum.frontdoor.wire.BadMessage;
 import hopdrum.frontdoor.wire.HttpReader;
@@ -29,6 +30,7 @@
         boolean isStopping();
     }
 
+    private static final Log LOG = new Log("clients");
     private static final int MOST_BYTES = 128 << 10;
     private static final long SLOW_US = 10_000_000;     // for a message to come in, or an answer to be taken
     private static final long LINGER_US = 1_000_000;
@@ -98,6 +100,7 @@
             }
         } catch (BadMessage e) {
             stopClock();
+            LOG.info("a request was turned down with " + e.status, e.getMessage());
             answer(e.status, 0, true);
         }
     }
@@ -115,11 +118,16 @@
                 throw new BadMessage(413, "the message is longer than its ring");
             }
             if (slow == null) {
-                slow = loop.in(SLOW_US, this::close); // guards against senders that hold a connection by sending slowly
+                slow = loop.in(SLOW_US, this::tooSlow); // guards against senders that hold a connection by sending slowly
             }
         }
     }
 
+    private void tooSlow() {
+        LOG.info("a client that sends or reads too slowly is cut off", null);
+        close();
+    }
+
     private void stopClock() {
         if (slow != null) {
             slow.cancel();
@@ -161,7 +169,7 @@
             flush();
         }
         if (!out.isEmpty() && slow == null) {
-            slow = loop.in(SLOW_US, this::close); // guards against clients that do not take their answers
+            slow = loop.in(SLOW_US, this::tooSlow); // guards against clients that do not take their answers
         }
         if (!last) {
             loop.soon(this::again);
