--- a/src/main/java/hopdrum/frontdoor/lifecycle/Loop.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Loop.java
@@ -18,7 +18,7 @@
         void broken(Exception e);
     }
 
-    /** A time to call at; a cancelled one stays in its queue until its time. */
+    /** A time to call at; a cancelled one stays in its queue until it is the next. */
     public static final class Timer {
         private final long atUs;
         private final long order;
@@ -103,6 +103,9 @@
 
     public void run() throws IOException {
         while (!stopped) {
+            while (!timers.isEmpty() && timers.peek().what == null) {
+                timers.poll(); // guards against waking for what was cancelled
+            }
             long waitUs = timers.isEmpty() ? 1_000_000 : timers.peek().atUs - tick();
             unseenSinceUs = selectedUs;
             selectedUs = nowUs;
