--- a/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
@@ -20,16 +20,9 @@
      * needs are loaded, for the archive that the JVM writes as it ends.
      */
     public static int train(String configFile) {
-        Config config = config(configFile, "train");
-        if (config == null) {
-            return 1;
-        }
-        try {
-            Warmup.run(config);
-            Loop loop = new Loop();
-            FrontDoor door = new FrontDoor(config, loop);
+        return run(configFile, "train", (config, loop, door) -> {
             loop.whenAsked(loop::stop);
-            Thread client = new Thread(() -> {
+            new Thread(() -> {
                 try (Socket socket = new Socket()) {
                     socket.connect(door.address());
                     socket.getOutputStream().write(Warmup.examples(config));
@@ -39,21 +32,27 @@
                     System.err.println("hopdrum train: " + e);
                 }
                 loop.ask();
-            }, "client");
-            client.start();
-            loop.run();
-            door.close();
-            loop.close();
-            return 0;
-        } catch (IOException e) {
-            System.err.println("hopdrum train: " + e);
-            return 1;
-        }
+            }, "client").start();
+        });
     }
 
-    /** Runs until SIGTERM; the exit code is the process's. */
+    /** Runs until SIGTERM. */
     public static int serve(String configFile) {
-        Config config = config(configFile, "serve");
+        return run(configFile, "serve", (config, loop, door) -> {
+            loop.whenAsked(door::stop);
+            Thread loopThread = Thread.currentThread();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(loop, loopThread), "on-sigterm"));
+            LOG.info("serving as " + config.name(), config.listen());
+        });
+    }
+
+    private interface WhenUp {
+        void up(Config config, Loop loop, FrontDoor door);
+    }
+
+    /** The exit code is the process's. */
+    private static int run(String configFile, String command, WhenUp whenUp) {
+        Config config = config(configFile, command);
         if (config == null) {
             return 1;
         }
@@ -61,11 +60,7 @@
             Warmup.run(config);
             Loop loop = new Loop();
             FrontDoor door = new FrontDoor(config, loop);
-            loop.whenAsked(door::stop);
-            Thread loopThread = Thread.currentThread();
-            Thread onTerm = new Thread(() -> end(loop, loopThread), "on-sigterm");
-            Runtime.getRuntime().addShutdownHook(onTerm);
-            LOG.info("serving as " + config.name(), config.listen());
+            whenUp.up(config, loop, door);
             loop.run();
             door.close();
             loop.close();
@@ -73,7 +68,7 @@
             exitCode = 0;
             return 0;
         } catch (IOException e) {
-            System.err.println("hopdrum serve: " + e);
+            System.err.println("hopdrum " + command + ": " + e);
             return 1;
         }
     }
