--- a/src/main/java/hopdrum/frontdoor/lifecycle/Loop.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Loop.java
@@ -4,7 +4,6 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.util.ArrayDeque;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.PriorityQueue;
 
@@ -19,7 +18,7 @@
     }
 
     /** A time to call at; a cancelled one stays in its queue until it is the next. */
-    public static final class Timer {
+    public static final class Timer implements Comparable<Timer> {
         private final long atUs;
         private final long order;
         private Runnable what;
@@ -33,14 +32,18 @@
         public void cancel() {
             what = null;
         }
+
+        @Override
+        public int compareTo(Timer other) {
+            return atUs != other.atUs ? Long.compare(atUs, other.atUs) : Long.compare(order, other.order);
+        }
     }
 
     private static final Log LOG = new Log("loop");
     private static final long AT_ONCE_US = 50;
     private final Selector selector;
-    private final PriorityQueue<Timer> timers = new PriorityQueue<>( // emptied as they come due
-            Comparator.comparingLong((Timer t) -> t.atUs).thenComparingLong(t -> t.order));
-    private final Deque<Runnable> soon = new ArrayDeque<>();         // emptied after each call
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>(); // emptied as they come due
+    private final Deque<Runnable> soon = new ArrayDeque<>();           // emptied after each call
     // Names of counts and the list's times are shared between machines: so time starts at the wall clock's, and
     // from there one monotonic clock alone moves it.
     private final long wallAtStartUs = System.currentTimeMillis() * 1000;
--- a/src/main/java/hopdrum/frontdoor/wire/HttpReader.java
+++ b/src/main/java/hopdrum/frontdoor/wire/HttpReader.java
@@ -23,6 +23,14 @@
     private static final byte[] HTTP_11 = ascii("HTTP/1.1");
     private static final byte[] HTTP_10 = ascii("HTTP/1.0");
 
+    private static final boolean[] TOKEN = new boolean[128];
+
+    static {
+        for (char c = '!'; c < 127; c++) {
+            TOKEN[c] = "\"(),/:;<=>?@[\\]{}".indexOf(c) < 0;
+        }
+    }
+
     private enum State { HEAD, LENGTH, CHUNKS, UNTIL_CLOSE, WHOLE }
 
     private final Kind kind;
@@ -123,6 +131,8 @@
                 lineFrom = scanned;
             } else if (b < ' ' && b != '\t' && b != '\r' && b >= 0 || b == 127) {
                 throw new BadMessage(400, "a control character in the head");
+            } else if (scanned > 1 && ring.at(scanned - 2) == '\r') {
+                throw new BadMessage(400, "a carriage return stands alone");
             }
             if (scanned > MOST_HEAD) {
                 throw new BadMessage(431, "the head is longer than " + MOST_HEAD + " bytes");
@@ -145,11 +155,6 @@
     }
 
     private void line(Ring ring, int from, int to) throws BadMessage {
-        for (int i = from; i < to; i++) {
-            if (ring.at(i) == '\r') {
-                throw new BadMessage(400, "a carriage return stands alone");
-            }
-        }
         if (!started) {
             started = true;
             if (kind == Kind.REQUEST) {
@@ -419,7 +424,6 @@
     }
 
     private static boolean isToken(byte b) {
-        return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9'
-                || b > ' ' && b < 127 && "!#$%&'*+-.^_`|~".indexOf(b) >= 0;
+        return b >= 0 && TOKEN[b];
     }
 }
