--- a/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
@@ -8,6 +8,8 @@
 import hopdrum.frontdoor.lifecycle.Warmup;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -260,10 +262,43 @@
     }
 
     @Test
-    void aSilentCounterIsNotWaitedForAndALateAnswerIsNoOneElses() throws Exception {
+    void aSilentCounterIsNotWaitedForAndItsConnectionIsReplaced() throws Exception {
         counter.answer = request -> HANGS;
         start();
         assertThat(ask(rpc("t1", "checkout", ""))).endsWith("for t1");
+        assertThat(counter.ends.poll(10, TimeUnit.SECONDS)).as("given up").isNotNull();
+        counter.requests.clear();
+        counter.answer = request -> ok("1");
+        while (counter.requests.isEmpty()) {
+            assertThat(ask(rpc("t2", "checkout", ""))).startsWith("HTTP/1.1 ");
+        }
+        assertThat(counter.sockets).as("a new one").hasSizeGreaterThan(1);
+    }
+
+    @Test
+    void messagesCountOnlyFromTheAddressesOfPeers() throws Exception {
+        loop = new Loop();
+        BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+                DatagramSocket stranger = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            List<InetSocketAddress> addresses = List.of((InetSocketAddress) peer.getLocalSocketAddress());
+            Peers peers = new Peers(loop, new InetSocketAddress("127.0.0.1", 0), addresses,
+                    message -> heard.add(new String(message, StandardCharsets.ISO_8859_1)));
+            thread(loop::run);
+            peers.tell(0, new byte[257]); // too long, and to a number that nobody has: neither is sent
+            peers.tell(1, new byte[1]);
+            peers.tell(0, new byte[] {42});
+            DatagramPacket got = new DatagramPacket(new byte[300], 300);
+            peer.receive(got);
+            assertThat(got.getLength()).isEqualTo(1);
+            stranger.send(new DatagramPacket("no".getBytes(), 2, got.getSocketAddress()));
+            peer.send(new DatagramPacket(new byte[257], 257, got.getSocketAddress()));
+            peer.send(new DatagramPacket("yes".getBytes(), 3, got.getSocketAddress()));
+            assertThat(heard.poll(10, TimeUnit.SECONDS)).isEqualTo("yes");
+            peers.close();
+            loop.whenAsked(loop::stop);
+            loop.ask();
+        }
     }
 
     @Test
