Only clients with nothing unread are shed, and none that is new

At fault: ClientConnection's constructor called owner.idle(), so that a connection just accepted was the longest idle one when the next came, and shed() closed without looking for bytes that had come in. Ruled out: descriptors spent elsewhere (80 of 130 in use) and slow senders (none cut off).

--- a/src/main/java/hopdrum/frontdoor/Clients.java
+++ b/src/main/java/hopdrum/frontdoor/Clients.java
@@ -13,7 +13,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
 
@@ -90,15 +89,30 @@
         }
     }
 
-    /** Clients that wait for nothing lose their connection first; one whose request crosses it sends it again. */
+    /**
+     * Clients that wait for nothing lose their connection first. Guards against losing what a client has just sent: one
+     * whose bytes are there already is not idle. (One whose request crosses the close sends it again, but only once.)
+     */
     private void shed() {
-        Iterator<ClientConnection> longestIdle = idle.iterator();
-        if (longestIdle.hasNext()) {
-            LOG.info("an idle client's connection is closed to make room", null);
-            longestIdle.next().close();
+        while (!idle.isEmpty()) {
+            ClientConnection longestIdle = idle.iterator().next();
+            if (closeIfIdle(longestIdle)) {
+                LOG.info("an idle client's connection is closed to make room", null);
+                return;
+            }
+            idle.remove(longestIdle);
         }
     }
 
+    private static boolean closeIfIdle(ClientConnection client) {
+        client.readNow();
+        boolean isIdle = client.isIdle();
+        if (isIdle) {
+            client.close();
+        }
+        return isIdle;
+    }
+
     private void pause(String why) {
         LOG.warning("accepting pauses", why);
         if (!paused && key.isValid()) {
@@ -133,7 +147,7 @@
     public void idle(ClientConnection client) {
         idle.add(client);
         if (stopping && !listener.isOpen()) {
-            client.close();
+            closeIfIdle(client);
         }
     }
 
@@ -172,7 +186,7 @@
         } catch (IOException e) {
             LOG.warning("the listening socket did not close cleanly", e.getMessage());
         }
-        new ArrayList<>(idle).forEach(ClientConnection::close);
+        new ArrayList<>(open).forEach(Clients::closeIfIdle);
     }
 
     boolean isEmpty() {
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Link.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Link.java
@@ -116,6 +116,17 @@
         end();
     }
 
+    /** Looks for bytes that have come in without having been told of; what they cause happens at once. */
+    public final void readNow() {
+        if (!closed && connected) {
+            try {
+                read();
+            } catch (IOException e) {
+                end();
+            }
+        }
+    }
+
     private void read() throws IOException {
         boolean any = false;
         boolean end = false;
--- a/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
@@ -45,7 +45,7 @@
     public ClientConnection(Loop loop, SocketChannel channel, Budget budget, Owner owner) throws IOException {
         super(loop, channel, MOST_BYTES, budget);
         this.owner = owner;
-        owner.idle(this);
+        slow = loop.in(SLOW_US, this::saysNothing);
     }
 
     public Ring bytes() {
@@ -81,6 +81,7 @@
             return;
         }
         if (arrivedUs == 0) {
+            stopClock();
             arrivedUs = loop.unseenSinceUs();
             owner.busy(this);
         }
@@ -123,6 +124,12 @@
         }
     }
 
+    /** Until then a new connection is no idle one: what its client opened it for may be on its way. */
+    private void saysNothing() {
+        slow = null;
+        owner.idle(this);
+    }
+
     private void tooSlow() {
         LOG.info("a client that sends or reads too slowly is cut off", null);
         close();
--- a/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
@@ -384,13 +384,21 @@
 
     @Test
     void anIdleClientMakesRoomForANewOne() throws Exception {
-        sockets = 64 + 10; // six of them for clients
+        sockets = 32 + 10; // six of them for clients
+        backend.answer = request -> HANGS;
         start();
+        Client unread = new Client();
+        Client taken = new Client().send(rpc("t1", "order", ""));
+        assertThat(backend.asked()).contains("t1");
         Client first = new Client();
-        for (int i = 0; i < 6; i++) {
-            assertThat(new Client().send("GET /health/ready HTTP/1.1\r\n\r\n").hears()).startsWith("HTTP/1.1 200 ");
+        for (int i = 0; i < 4; i++) {
+            Client next = i == 0 ? first : new Client();
+            assertThat(next.send("GET /health/ready HTTP/1.1\r\n\r\n").hears()).startsWith("HTTP/1.1 200 ");
         }
-        assertThat(first.hears()).isNull();
+        assertThat(new Client().send("GET /health/ready HTTP/1.1\r\n\r\n").hears()).startsWith("HTTP/1.1 200 ");
+        assertThat(first.hears()).as("idle the longest").isNull();
+        assertThat(unread.send("GET /health/ready HTTP/1.1\r\n\r\n").hears()).as("new, not idle").startsWith("HTTP/1.1 200 ");
+        assertThat(taken.socket.getInputStream().available()).as("still waits for its answer").isZero();
     }
 
     @Test
