While accepting pauses, answers close their connections; only long idle ones are shed

At fault: Clients.idle() resumed accepting, and shed() took what had been idle for microseconds. Ruled out: unread bytes (looked for before the close). Now an answer given while others wait says Connection: close, and only what has been idle for 250 ms is shed.

--- a/src/main/java/hopdrum/frontdoor/Clients.java
+++ b/src/main/java/hopdrum/frontdoor/Clients.java
@@ -21,6 +21,7 @@
     private static final Log LOG = new Log("clients");
     private static final int BACKLOG = 1024;
     private static final long PAUSE_US = 50_000;
+    private static final long LEAST_IDLE_US = 250_000;
 
     /** Who takes RPCs. */
     interface Owner {
@@ -91,11 +92,14 @@
 
     /**
      * Clients that wait for nothing lose their connection first. Guards against losing what a client has just sent: one
-     * whose bytes are there already is not idle. (One whose request crosses the close sends it again, but only once.)
+     * whose bytes are there already is not idle, and one that was answered a moment ago may be writing its next.
      */
     private void shed() {
         while (!idle.isEmpty()) {
             ClientConnection longestIdle = idle.iterator().next();
+            if (loop.nowUs() - longestIdle.idleSinceUs() < LEAST_IDLE_US) {
+                return;
+            }
             if (closeIfIdle(longestIdle)) {
                 LOG.info("an idle client's connection is closed to make room", null);
                 return;
@@ -166,11 +170,14 @@
         budget.client(-1);
         idle.remove(client);
         open.remove(client);
+        if (paused) {
+            loop.soon(this::resume);
+        }
     }
 
     @Override
-    public boolean isStopping() {
-        return stopping;
+    public boolean closesWithAnswer() {
+        return stopping || paused; // while others wait for room a client is told to come back on a new connection
     }
 
     /** From now on each answer is its connection's last. */
--- a/src/main/java/hopdrum/frontdoor/memory/Budget.java
+++ b/src/main/java/hopdrum/frontdoor/memory/Budget.java
@@ -14,7 +14,7 @@
 
     public Budget(int sockets, long memoryBytes) {
         int shared = Math.max(8, sockets - KEPT);
-        mostBackends = shared * 2 / 5;
+        mostBackends = shared / 3; // an RPC in line holds a client alone
         mostClients = shared - mostBackends;
         mostBytes = memoryBytes;
     }
--- a/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
@@ -26,8 +26,8 @@
 
         void released(ClientConnection client);
 
-        /** True once this program is stopping: the connection closes with its next answer. */
-        boolean isStopping();
+        /** True while connections are to close with their next answer. */
+        boolean closesWithAnswer();
     }
 
     private static final Log LOG = new Log("clients");
@@ -40,6 +40,7 @@
     private long arrivedUs;        // before the first byte of the message at the front
     private long behindUs;         // before the first byte of what came in behind it
     private Loop.Timer slow;
+    private long idleSinceUs;
     private boolean closing;       // the last answer is written or being written
 
     public ClientConnection(Loop loop, SocketChannel channel, Budget budget, Owner owner) throws IOException {
@@ -109,8 +110,7 @@
     private void incomplete() throws BadMessage {
         if (!reader.isStarted() && in.isEmpty()) {
             arrivedUs = 0;
-            in.shrink();
-            owner.idle(this);
+            goesIdle();
         } else {
             if (reader.awaitsLeave() && HttpWriter.leaveToSend(out)) {
                 flush();
@@ -127,9 +127,19 @@
     /** Until then a new connection is no idle one: what its client opened it for may be on its way. */
     private void saysNothing() {
         slow = null;
+        goesIdle();
+    }
+
+    private void goesIdle() {
+        in.shrink();
+        idleSinceUs = loop.nowUs();
         owner.idle(this);
     }
 
+    public long idleSinceUs() {
+        return idleSinceUs;
+    }
+
     private void tooSlow() {
         LOG.info("a client that sends or reads too slowly is cut off", null);
         close();
@@ -144,7 +154,7 @@
 
     /** A backend's whole answer, which is still in that backend's ring; false if it could not be held. */
     public boolean answer(Ring from, HttpReader answer) {
-        boolean last = !reader.keepAlive() || owner.isStopping();
+        boolean last = !reader.keepAlive() || owner.closesWithAnswer();
         if (!HttpWriter.answer(from, answer, last, out)) {
             return false;
         }
@@ -154,7 +164,7 @@
 
     /** An answer of this program's own. */
     public void answer(int status, long retryAfterUs, boolean close) {
-        boolean last = close || !reader.keepAlive() || owner.isStopping();
+        boolean last = close || !reader.keepAlive() || owner.closesWithAnswer();
         if (!HttpWriter.plain(status, retryAfterUs, last, out)) {
             loop.soon(this::close);
             return;
@@ -188,8 +198,7 @@
             if (arrivedUs != 0 && !in.isEmpty()) {
                 next();
             } else if (in.isEmpty()) {
-                owner.idle(this);
-                in.shrink();
+                goesIdle();
             }
             interest();
         }
--- a/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
@@ -384,7 +384,7 @@
 
     @Test
     void anIdleClientMakesRoomForANewOne() throws Exception {
-        sockets = 32 + 10; // six of them for clients
+        sockets = 32 + 9; // six of them for clients
         backend.answer = request -> HANGS;
         start();
         Client unread = new Client();
