--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -34,6 +34,7 @@
     private static final Log LOG = new Log("frontdoor");
     private static final float[] NO_REPORT = {};
     private static final long ACCEPT_ON_US = 500_000;
+    private static final long SLOW_US = 10_000_000;
     private static final long CHECK_US = 250_000;
     private static final long TALLY_US = 10_000_000;
 
@@ -68,7 +69,7 @@
     public FrontDoor(Config config, Loop loop) throws IOException {
         this.config = config;
         this.loop = loop;
-        budget = new Budget(config.sockets(), config.memoryMb() * (1L << 20) / 6);
+        budget = new Budget(config.sockets(), config.memoryMb() * (1L << 20) / 6, SLOW_US);
         directory = new Directory(config.zones(), config.kinds());
         head = new RpcHead(config.methods(), config.plans());
         policy = new Policy(config.settings(), config.seed(), this);
--- a/src/main/java/hopdrum/frontdoor/memory/Budget.java
+++ b/src/main/java/hopdrum/frontdoor/memory/Budget.java
@@ -2,23 +2,30 @@
 
 import hopdrum.frontdoor.wire.Ring;
 
-/** How many descriptors and how much memory the connections may hold, and what they hold now. */
+/** What the connections may hold of descriptors, memory and time, and what they hold now. */
 public final class Budget implements Ring.Account {
     private static final int KEPT = 32;         // for files, discovery, the counter, UDP and the selector
     private final int mostClients;
     private final int mostBackends;
     private final long mostBytes;
+    private final long slowUs;
     private int clients;
     private int backends;
     private long bytes;
 
-    public Budget(int sockets, long memoryBytes) {
+    public Budget(int sockets, long memoryBytes, long slowUs) {
+        this.slowUs = slowUs;
         int shared = Math.max(8, sockets - KEPT);
         mostBackends = shared / 3; // an RPC in line holds a client alone
         mostClients = shared - mostBackends;
         mostBytes = memoryBytes;
     }
 
+    /** How long a client may take to send a message, or to take an answer. */
+    public long slowUs() {
+        return slowUs;
+    }
+
     public boolean clientFits() {
         return clients < mostClients && bytes < mostBytes;
     }
--- a/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
@@ -32,9 +32,9 @@
 
     private static final Log LOG = new Log("clients");
     private static final int MOST_BYTES = 128 << 10;
-    private static final long SLOW_US = 10_000_000;     // for a message to come in, or an answer to be taken
     private static final long LINGER_US = 1_000_000;
     private final Owner owner;
+    private final long slowUs;
     private final HttpReader reader = new HttpReader(HttpReader.Kind.REQUEST);
     private OpenRpc rpc;
     private long arrivedUs;        // before the first byte of the message at the front
@@ -46,7 +46,8 @@
     public ClientConnection(Loop loop, SocketChannel channel, Budget budget, Owner owner) throws IOException {
         super(loop, channel, MOST_BYTES, budget);
         this.owner = owner;
-        slow = loop.in(SLOW_US, this::saysNothing);
+        this.slowUs = budget.slowUs();
+        slow = loop.in(slowUs, this::saysNothing);
     }
 
     public Ring bytes() {
@@ -119,7 +120,7 @@
                 throw new BadMessage(413, "the message is longer than its ring");
             }
             if (slow == null) {
-                slow = loop.in(SLOW_US, this::tooSlow); // guards against senders that hold a connection by sending slowly
+                slow = loop.in(slowUs, this::tooSlow); // guards against senders that hold a connection by sending slowly
             }
         }
     }
@@ -186,7 +187,7 @@
             flush();
         }
         if (!out.isEmpty() && slow == null) {
-            slow = loop.in(SLOW_US, this::tooSlow); // guards against clients that do not take their answers
+            slow = loop.in(slowUs, this::tooSlow); // guards against clients that do not take their answers
         }
         if (!last) {
             loop.soon(this::again);
--- a/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
@@ -6,6 +6,8 @@
 import hopdrum.frontdoor.lifecycle.Config;
 import hopdrum.frontdoor.lifecycle.Loop;
 import hopdrum.frontdoor.lifecycle.Warmup;
+import hopdrum.frontdoor.memory.Budget;
+import hopdrum.frontdoor.memory.ClientConnection;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.DatagramPacket;
@@ -76,9 +78,9 @@
         }
 
         private void talk(Socket socket) throws IOException {
-            int served = 0;
+            int talked = 0;
             try (socket) {
-                for (String request; (request = message(socket.getInputStream())) != null; served++) {
+                for (String request; (request = message(socket.getInputStream())) != null; talked++) {
                     requests.add(request);
                     String said = answer.apply(request);
                     if (said == null) {
@@ -87,7 +89,7 @@
                     socket.getOutputStream().write(said.getBytes(StandardCharsets.ISO_8859_1));
                 }
             } finally {
-                ends.add(served);
+                ends.add(talked);
             }
         }
 
@@ -321,6 +323,47 @@
         assertThat(ask(rpc("t1", "order", ""))).startsWith("HTTP/1.1 503 ");
     }
 
+    @Test
+    void aConnectionThatNeverComesUpNeverRanIt() throws Exception {
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Socket first = new Socket(full.getInetAddress(), full.getLocalPort());
+                Socket second = new Socket(full.getInetAddress(), full.getLocalPort())) {
+            assertThat(first.isConnected() && second.isConnected()).as("nobody accepts, and the queue is full").isTrue();
+            start(host("b", "127.0.0.1:" + full.getLocalPort(), "in_service"));
+            assertThat(ask(rpc("t1", "order", ""))).startsWith("HTTP/1.1 503 ");
+        }
+    }
+
+    @Test
+    void aSlowSenderIsCutOff() throws Exception {
+        loop = new Loop();
+        Clients clients = new Clients(loop, new InetSocketAddress("127.0.0.1", 0), new Budget(1024, 1 << 20, 50_000), new Clients.Owner() {
+            @Override
+            public void take(ClientConnection client) {
+                throw new AssertionError("nothing came whole");
+            }
+
+            @Override
+            public void left(ClientConnection client) {
+                throw new AssertionError("nothing was taken");
+            }
+
+            @Override
+            public boolean isReady() {
+                return true;
+            }
+        });
+        thread(loop::run);
+        try (Socket slow = new Socket()) {
+            slow.connect(clients.address());
+            slow.setSoTimeout(10_000);
+            slow.getOutputStream().write("GET /health".getBytes(StandardCharsets.ISO_8859_1));
+            assertThat(slow.getInputStream().read()).isEqualTo(-1);
+        }
+        loop.whenAsked(loop::stop);
+        loop.ask();
+    }
+
     @Test
     void anAnswerCutShortIsNotPassedOn() throws Exception {
         start();
