--- a/src/main/java/hopdrum/frontdoor/Counter.java
+++ b/src/main/java/hopdrum/frontdoor/Counter.java
@@ -7,6 +7,9 @@
 import hopdrum.host.Outcome;
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
 
 /** The few connections to the counter. A name keeps to one of them, so that its answers come in order. */
 final class Counter implements CounterConnection.Owner {
@@ -21,12 +24,13 @@
     }
 
     private final Loop loop;
-    private final SocketAddress address;
+    private SocketAddress address;                  // null without a counter
     private final long timeOutUs;
     private final Budget budget;
     private final Owner owner;
     private long stuckUs = STUCK_US;
     private final CounterConnection[] connections = new CounterConnection[CONNECTIONS];
+    private final List<CounterConnection> leaving = new ArrayList<>(); // to where it was; one goes as it is closed
 
     Counter(Loop loop, SocketAddress address, long timeOutUs, Budget budget, Owner owner) {
         this.loop = loop;
@@ -37,13 +41,30 @@
         loop.in(STUCK_US, this::check);
     }
 
+    /** New calls go there at once; those under way end where they are. */
+    void moveTo(SocketAddress now) {
+        if (Objects.equals(now, address)) {
+            return;
+        }
+        address = now;
+        stuckUs = STUCK_US;
+        for (int i = 0; i < CONNECTIONS; i++) {
+            CounterConnection old = connections[i];
+            connections[i] = null;
+            if (old != null) {
+                leaving.add(old);
+                old.closeOnceAnswered();
+            }
+        }
+    }
+
     void add(long name, double amount, long lifeMs) {
         int slot = Math.floorMod(Long.hashCode(name), CONNECTIONS);
         try {
-            if (connections[slot] == null) {
+            if (connections[slot] == null && address != null) {
                 connections[slot] = new CounterConnection(loop, address, timeOutUs, budget, this);
             }
-            if (connections[slot].call(name, amount, lifeMs)) {
+            if (connections[slot] != null && connections[slot].call(name, amount, lifeMs)) {
                 return;
             }
         } catch (IOException e) {
@@ -68,8 +89,8 @@
      */
     private void check() {
         boolean replaced = false;
-        for (CounterConnection connection : connections) {
-            if (connection != null && connection.isStuck(stuckUs)) {
+        for (CounterConnection connection : all()) {
+            if (connection.isStuck(stuckUs)) {
                 LOG.warning("a connection to the counter is silent and replaced", null);
                 connection.giveUp();
                 replaced = true;
@@ -81,6 +102,7 @@
 
     @Override
     public void released(CounterConnection connection) {
+        leaving.remove(connection);
         for (int i = 0; i < CONNECTIONS; i++) {
             if (connections[i] == connection) {
                 connections[i] = null;
@@ -89,10 +111,16 @@
     }
 
     void close() {
-        for (CounterConnection connection : connections.clone()) {
+        all().forEach(CounterConnection::close);
+    }
+
+    private List<CounterConnection> all() {
+        List<CounterConnection> all = new ArrayList<>(leaving);
+        for (CounterConnection connection : connections) {
             if (connection != null) {
-                connection.close();
+                all.add(connection);
             }
         }
+        return all;
     }
 }
--- a/src/main/java/hopdrum/frontdoor/Discovery.java
+++ b/src/main/java/hopdrum/frontdoor/Discovery.java
@@ -17,6 +17,7 @@
     private static final int MOST_BYTES = 64 << 10;
     private static final long SILENT_US = 7_000_000;    // an empty line comes every 2 s
     private static final long AGAIN_US = 500_000;
+    private static final long NO_LIST_US = 1_000_000;   // a list that is asked for comes at once
 
     /** Who is told of the list. */
     interface Owner {
@@ -25,12 +26,13 @@
     }
 
     private final Loop loop;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Budget budget;
     private final Owner owner;
     private long version;
     private Connection watch;
     private Connection fetch;
+    private Connection former;      // the watch at the address before, until the new one has told its whole list
     private long lastHeardUs;
     private boolean wholeNeeded;
     private boolean closed;
@@ -48,10 +50,29 @@
     }
 
     private void keepUp() {
-        if (closed) {
+        if (!closed) {
+            look();
+            loop.in(AGAIN_US, this::keepUp);
+        }
+    }
+
+    /** Versions at another address are others: its whole list is needed, and what is known stands until then. */
+    void moveTo(InetSocketAddress now) {
+        if (now.equals(address)) {
             return;
         }
-        if (watch != null && loop.nowUs() - lastHeardUs > SILENT_US) {
+        address = now;
+        version = -1;
+        wholeNeeded = true;
+        close(former);
+        former = watch;
+        watch = null;
+        close(fetch);
+        look();
+    }
+
+    private void look() {
+        if (watch != null && loop.nowUs() - lastHeardUs > (wholeNeeded ? NO_LIST_US : SILENT_US)) {
             LOG.warning("the watch is silent and opened anew", null);
             watch.close();
         }
@@ -62,7 +83,6 @@
         if (wholeNeeded && fetch == null) {
             fetch = open(false);
         }
-        loop.in(AGAIN_US, this::keepUp);
     }
 
     private Connection open(boolean isWatch) {
@@ -76,15 +96,19 @@
 
     void close() {
         closed = true;
-        if (watch != null) {
-            watch.close();
-        }
-        if (fetch != null) {
-            fetch.close();
+        close(watch);
+        close(fetch);
+        close(former);
+    }
+
+    private static void close(Connection connection) {
+        if (connection != null) {
+            connection.close();
         }
     }
 
-    private void line(String line, boolean isWatch) {
+    private void line(String line, Connection from) {
+        boolean isWatch = from == watch;
         lastHeardUs = isWatch ? loop.nowUs() : lastHeardUs;
         if (line.isEmpty()) {
             return;
@@ -94,15 +118,22 @@
                     || !(message.get("whole") instanceof Boolean whole)) {
                 throw new IllegalArgumentException("no list");
             }
+            if (from == former) {
+                owner.told(message, whole);
+                return;
+            }
             if (!isWatch && seq.longValue() < version) {
                 return; // the watch has told more since
             }
             owner.told(message, whole);
-            wholeNeeded &= !whole;
+            if (whole) {
+                wholeNeeded = false;
+                close(former);
+            }
             version = seq.longValue();
         } catch (IllegalArgumentException e) {
             LOG.warning("a line from discovery cannot be read, the whole list is fetched", e.getMessage());
-            wholeNeeded = true;
+            wholeNeeded = from != former || wholeNeeded;
             if (isWatch && fetch == null) {
                 fetch = open(false);
             }
@@ -116,11 +147,11 @@
         Connection(boolean isWatch) throws IOException {
             super(Discovery.this.loop, address, MOST_BYTES, budget);
             this.isWatch = isWatch;
-            this.reader = new DiscoveryReader(line -> line(line, isWatch));
+            this.reader = new DiscoveryReader(line -> line(line, this));
             DiscoveryReader.ask(isWatch, version, address.getAddress().getHostAddress() + ":" + address.getPort(), out);
             flush();
             if (!isWatch) {
-                loop.in(SILENT_US, this::close);
+                loop.in(NO_LIST_US, this::close);
             }
         }
 
@@ -151,6 +182,9 @@
             if (fetch == this) {
                 fetch = null;
             }
+            if (former == this) {
+                former = null;
+            }
         }
     }
 }
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -73,8 +73,7 @@
         directory = new Directory(config.zones(), config.kinds());
         head = new RpcHead(config.methods(), config.plans());
         policy = new Policy(config.settings(), config.seed(), this);
-        counter = config.counter() == null ? null
-                : new Counter(loop, config.counter(), config.settings().countWaitUs(), budget, this);
+        counter = new Counter(loop, config.counter(), config.settings().countWaitUs(), budget, this);
         peers = config.peerListen() == null || !config.settings().mayTell() ? null
                 : new Peers(loop, config.peerListen(), config.peers(), policy::heard);
         long version = known();
@@ -126,6 +125,13 @@
         loop.in(TALLY_US, this::tell);
     }
 
+    /** SIGHUP: discovery and the counter are followed to where they are now; the rest takes a new start. */
+    public void follow(Config fresh) {
+        LOG.info("a new configuration", "discovery " + fresh.discovery() + ", counter " + fresh.counter());
+        discovery.moveTo(fresh.discovery());
+        counter.moveTo(fresh.counter());
+    }
+
     /** SIGTERM: not ready, accepting on for a while, then what was taken is finished. */
     public void stop() {
         LOG.info("stopping", rpcs.size() + " RPCs under way");
@@ -148,9 +154,7 @@
     public void close() throws IOException {
         clients.close();
         discovery.close();
-        if (counter != null) {
-            counter.close();
-        }
+        counter.close();
         if (peers != null) {
             peers.close();
         }
@@ -334,11 +338,7 @@
 
     @Override
     public void addToCount(long name, double units, long timeToLiveUs) {
-        if (counter != null) {
-            counter.add(name, units, timeToLiveUs / 1000);
-        } else {
-            loop.soon(() -> counted(name, Outcome.CONNECT_FAILED, 0, 0));
-        }
+        counter.add(name, units, timeToLiveUs / 1000);
     }
 
     @Override
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Loop.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Loop.java
@@ -6,6 +6,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 
 /** The one thread: waits for sockets and timers and calls their owners. Owns the selector and the clock. */
 public final class Loop {
@@ -53,8 +55,7 @@
     private boolean returned;
     private long unseenSinceUs = nowUs;
     private long orders;
-    private volatile boolean asked;
-    private Runnable whenAsked;
+    private final Queue<Runnable> asked = new ConcurrentLinkedQueue<>(); // by other threads; emptied after each selection
     private boolean stopped;
 
     public Loop() throws IOException {
@@ -90,16 +91,12 @@
         soon.add(what);
     }
 
-    /** May be called from another thread, once: the loop then calls what was given to whenAsked(). */
-    public void ask() {
-        asked = true;
+    /** May be called from any thread, any number of times, before the loop runs too: calls in the loop, in order. */
+    public void ask(Runnable what) {
+        asked.add(what);
         selector.wakeup();
     }
 
-    public void whenAsked(Runnable what) {
-        whenAsked = what;
-    }
-
     public void stop() {
         stopped = true;
     }
@@ -120,9 +117,7 @@
             }
             tick();
             hasReturned();
-            if (asked && whenAsked != null) {
-                Runnable what = whenAsked;
-                whenAsked = null;
+            for (Runnable what = asked.poll(); what != null; what = asked.poll()) {
                 guarded(what);
             }
             while (!timers.isEmpty() && timers.peek().atUs <= nowUs) {
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
@@ -21,7 +21,6 @@
      */
     public static int train(String configFile) {
         return run(configFile, "train", (config, loop, door) -> {
-            loop.whenAsked(loop::stop);
             new Thread(() -> {
                 try (Socket socket = new Socket()) {
                     socket.connect(door.address());
@@ -31,7 +30,7 @@
                 } catch (IOException e) {
                     System.err.println("hopdrum train: " + e);
                 }
-                loop.ask();
+                loop.ask(loop::stop);
             }, "client").start();
         });
     }
@@ -39,13 +38,36 @@
     /** Runs until SIGTERM. */
     public static int serve(String configFile) {
         return run(configFile, "serve", (config, loop, door) -> {
-            loop.whenAsked(door::stop);
             Thread loopThread = Thread.currentThread();
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(loop, loopThread), "on-sigterm"));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(loop, door, loopThread), "on-sigterm"));
             LOG.info("serving as " + config.name(), config.listen());
         });
     }
 
+    /**
+     * SIGHUP: the configuration is read anew, any number of times. Handled from the start, since a JVM ends on a SIGHUP
+     * that nothing handles; one that comes early waits in the loop. A file that cannot be used changes nothing.
+     */
+    public static final class Reload {
+        private FrontDoor door; // known before the loop runs
+
+        public Reload(Path file, Loop loop) {
+            sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> loop.ask(() -> read(file)));
+        }
+
+        public void follows(FrontDoor of) {
+            door = of;
+        }
+
+        private void read(Path file) {
+            try {
+                door.follow(Config.read(file));
+            } catch (IllegalArgumentException e) {
+                LOG.warning("the new configuration cannot be used, the old one stands", e.getMessage());
+            }
+        }
+    }
+
     private interface WhenUp {
         void up(Config config, Loop loop, FrontDoor door);
     }
@@ -57,9 +79,11 @@
             return 1;
         }
         try {
-            Warmup.run(config);
             Loop loop = new Loop();
+            Reload reload = new Reload(Path.of(configFile), loop);
+            Warmup.run(config);
             FrontDoor door = new FrontDoor(config, loop);
+            reload.follows(door);
             whenUp.up(config, loop, door);
             loop.run();
             door.close();
@@ -88,8 +112,8 @@
     }
 
     /** Runs as the process is told to end: it ends once the loop has, and then as a success. */
-    private static void end(Loop loop, Thread loopThread) {
-        loop.ask();
+    private static void end(Loop loop, FrontDoor door, Thread loopThread) {
+        loop.ask(door::stop);
         try {
             loopThread.join();
         } catch (InterruptedException e) {
--- a/src/main/java/hopdrum/frontdoor/memory/CounterConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/CounterConnection.java
@@ -44,6 +44,7 @@
     private long written;
     private long lastHeardUs;
     private boolean armed;
+    private boolean leaves;
 
     public CounterConnection(Loop loop, SocketAddress to, long timeOutUs, Budget budget, Owner owner)
             throws IOException {
@@ -74,6 +75,14 @@
         return true;
     }
 
+    /** No more calls come: it closes with the last answer that is out. */
+    public void closeOnceAnswered() {
+        leaves = true;
+        if (unanswered.isEmpty()) {
+            close();
+        }
+    }
+
     /** Silent for that long with a call unanswered: it may be of no use any more. */
     public boolean isStuck(long forUs) {
         return !unanswered.isEmpty() && loop.nowUs() - lastHeardUs > forUs;
@@ -126,7 +135,7 @@
                 boolean keeps = reader.keepAlive();
                 reader.done(in);
                 report(call, added ? Outcome.OK : Outcome.FULL, total);
-                if (!keeps && !isClosed()) {
+                if ((!keeps || leaves && unanswered.isEmpty()) && !isClosed()) {
                     ended();
                     close();
                 }
--- a/src/main/java/hopdrum/frontdoor/memory/Directory.java
+++ b/src/main/java/hopdrum/frontdoor/memory/Directory.java
@@ -5,9 +5,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * The backends by name and by the number that Policy knows them by, with their addresses and connections. An entry
@@ -60,7 +62,10 @@
             entries.add(new Entry(fields));
         }
         if (whole) {
-            byNumber.values().forEach(pool -> pool.listed(false));
+            // Only what is not named any more: unlisting closes a backend's idle connections.
+            Set<String> named = new HashSet<>();
+            entries.forEach(entry -> named.add(entry.name));
+            byName.forEach((name, pool) -> pool.listed(named.contains(name)));
         }
         List<Listed> listed = new ArrayList<>();
         for (Entry entry : entries) {
--- a/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
@@ -5,6 +5,7 @@
 
 import hopdrum.frontdoor.lifecycle.Config;
 import hopdrum.frontdoor.lifecycle.Loop;
+import hopdrum.frontdoor.lifecycle.Server;
 import hopdrum.frontdoor.lifecycle.Warmup;
 import hopdrum.frontdoor.memory.Budget;
 import hopdrum.frontdoor.memory.ClientConnection;
@@ -17,8 +18,11 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -28,6 +32,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import sun.misc.Signal;
 
 /** The front door on loopback, among tiny stand-ins for what it speaks with. */
 @Timeout(20)
@@ -197,8 +202,7 @@
     @AfterEach
     void end() throws Exception {
         if (running != null && !running.isDone()) {
-            loop.whenAsked(loop::stop);
-            loop.ask();
+            loop.ask(loop::stop);
             running.get(10, TimeUnit.SECONDS);
         }
         for (AutoCloseable closeable : open) {
@@ -298,8 +302,7 @@
             peer.send(new DatagramPacket("yes".getBytes(), 3, got.getSocketAddress()));
             assertThat(heard.poll(10, TimeUnit.SECONDS)).isEqualTo("yes");
             peers.close();
-            loop.whenAsked(loop::stop);
-            loop.ask();
+            loop.ask(loop::stop);
         }
     }
 
@@ -360,8 +363,7 @@
             slow.getOutputStream().write("GET /health".getBytes(StandardCharsets.ISO_8859_1));
             assertThat(slow.getInputStream().read()).isEqualTo(-1);
         }
-        loop.whenAsked(loop::stop);
-        loop.ask();
+        loop.ask(loop::stop);
     }
 
     @Test
@@ -454,8 +456,7 @@
         };
         Client taken = new Client().send(rpc("t1", "order", ""));
         assertThat(backend.asked()).contains("t1");
-        loop.whenAsked(door::stop);
-        loop.ask();
+        loop.ask(door::stop);
         String ready;
         do {
             ready = ask("GET /health/ready HTTP/1.1\r\n\r\n");
@@ -466,6 +467,45 @@
         running.get(10, TimeUnit.SECONDS);
     }
 
+    @Test
+    void onSighupDiscoveryAndTheCounterAreFollowedAndTheOldListStandsUntilTheNewOne() throws Exception {
+        StandIn newDiscovery = new StandIn(request -> HANGS);
+        StandIn newCounter = new StandIn(request -> ok("1"));
+        start();
+        assertThat(ask(rpc("t1", "order", ""))).endsWith("for t1");
+        String moved = config(host("b", backend.address(), "in_service")).replace(counter.address(), newCounter.address())
+                .replace(discovery.address(), newDiscovery.address());
+        Path file = Files.createTempFile("hopdrum", ".json");
+        open.add(() -> Files.delete(file));
+        Server.Reload reload = new Server.Reload(file, loop);
+        loop.ask(() -> reload.follows(door));
+        Files.writeString(file, "{\"half");
+        Signal.raise(new Signal("HUP"));
+        Files.writeString(file, moved);
+        Signal.raise(new Signal("HUP"));
+        assertThat(newDiscovery.asked() + newDiscovery.asked()).as("watched, and its whole list fetched")
+                .contains("watch=1 ").contains("GET /registry/instances HTTP");
+        counter.requests.clear();
+        assertThat(ask(rpc("t2", "order", ""))).as("by the old list").endsWith("for t2");
+        assertThat(newCounter.asked()).contains("delta=1&");
+        assertThat(counter.requests).isEmpty();
+        assertThat(counter.ends.poll(10, TimeUnit.SECONDS)).as("left once all is answered").isNotNull();
+        StandIn second = new StandIn(request -> ok("second"));
+        String list = "{\"seq\":3,\"whole\":true,\"hosts\":[" + host("c", second.address(), "in_service") + "]}\n";
+        newDiscovery.say("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
+        assertThat(discovery.ends.poll(10, TimeUnit.SECONDS)).as("the old watch goes with the new list").isEqualTo(1);
+        assertThat(ask(rpc("t3", "order", ""))).endsWith("second");
+    }
+
+    @Test
+    void aWholeListThatNamesABackendAgainLeavesItsConnectionsOpen() throws Exception {
+        start();
+        assertThat(ask(rpc("t1", "order", ""))).endsWith("for t1");
+        loop.ask(() -> door.told(Map.of("hosts", List.of(Map.of("host", "b", "dial", backend.address(), "health", "in_service"))), true));
+        assertThat(ask(rpc("t2", "order", ""))).endsWith("for t2");
+        assertThat(backend.sockets).hasSize(1);
+    }
+
     @Test
     void aConfigurationThatCannotBeUsedIsNamedInOneLine() throws IOException {
         String good = config(host("b", backend.address(), "in_service"));
