Answers that cannot be read end at once as what may have run, and are nobody's fault

A probe of answers' heads showed the spoilt ones on every backend alike, and 4xx answers to bad clients' RPCs counted against backends.

At fault: BackendAnswer.report; CounterConnection.received polled the call before total() threw, so it ended unreported and every later answer of that name was told to the call before; BackendConnection gave ERROR for what cannot be read, waited for the rest of half answers and passed on bodies that only the connection's end would end; Pool.takeIdle handed out connections with bytes still coming.

Now Outcome.UNREADABLE: it has run (or was added), Policy blames nobody and does not slow its calls on the counter. Noise is known by its first bytes, half an answer by 250 ms of silence (the counter 100). A 4xx from a backend is MOOT. Connections rest 2 ms and are looked at before their next call-out.

--- a/src/main/java/hopdrum/frontdoor/Counter.java
+++ b/src/main/java/hopdrum/frontdoor/Counter.java
@@ -15,6 +15,8 @@
 final class Counter implements CounterConnection.Owner {
     private static final Log LOG = new Log("counter");
     private static final int CONNECTIONS = 2;
+    private static final long CHECK_US = 50_000;
+    private static final long HALF_US = 100_000;        // of silence amid an answer
     private static final long STUCK_US = 1_000_000;
     private static final long MOST_STUCK_US = 8_000_000;
 
@@ -38,7 +40,7 @@
         this.timeOutUs = timeOutUs;
         this.budget = budget;
         this.owner = owner;
-        loop.in(STUCK_US, this::check);
+        loop.in(CHECK_US, this::check);
     }
 
     /** New calls go there at once; those under way end where they are. */
@@ -90,6 +92,7 @@
     private void check() {
         boolean replaced = false;
         for (CounterConnection connection : all()) {
+            connection.giveUpHalfAnswer(HALF_US);
             if (connection.isStuck(stuckUs)) {
                 LOG.warning("a connection to the counter is silent and replaced", null);
                 connection.giveUp();
@@ -97,7 +100,7 @@
             }
         }
         stuckUs = replaced ? Math.min(MOST_STUCK_US, 2 * stuckUs) : stuckUs;
-        loop.in(STUCK_US / 4, this::check);
+        loop.in(CHECK_US, this::check);
     }
 
     @Override
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -274,7 +274,7 @@
             loop.soon(() -> ended(callOut, Outcome.MOOT, NO_REPORT));
             return;
         }
-        BackendConnection connection = pool.takeIdle();
+        BackendConnection connection = pool.takeIdle(nowUs());
         try {
             if (connection == null) {
                 connection = connect(pool);
--- a/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
@@ -26,6 +26,7 @@
 
     private static final Log LOG = new Log("backends");
     private static final int MOST_BYTES = 128 << 10;
+    private static final long HALF_US = 250_000;    // of silence amid an answer
     private static final float[] NO_REPORT = {};
     private final Owner owner;
     private final Pool pool;
@@ -35,6 +36,7 @@
     private boolean written;       // the call-out's last byte
     private Loop.Timer dial;
     private long idleSinceUs;
+    private long heardUs;          // the last bytes of an answer that is not whole; 0 before
 
     public BackendConnection(Loop loop, Pool pool, long dialTimeOutUs, List<String> reportFields, Budget budget,
                              Owner owner) throws IOException {
@@ -62,6 +64,7 @@
             return false;
         }
         callOut = sent;
+        heardUs = 0;
         sent.connection = this;
         written = false;
         flush();
@@ -97,14 +100,42 @@
         try {
             if (reader.read(in)) {
                 whole(reader.keepAlive() && written);
+            } else if (reader.isUntilClose() && reader.status() != 200) {
+                reader.endAtHead();
+                whole(false);
+            } else if (reader.isUntilClose()) {
+                throw new BadMessage(400, "an answer that the connection's end ends cannot be known to be whole");
+            } else if (heardUs == 0 && !in.isEmpty()) {
+                heardUs = loop.nowUs();
+                lookIn(HALF_US, callOut);
+            } else {
+                heardUs = loop.nowUs();
             }
         } catch (BadMessage e) {
-            LOG.warning("a backend's answer cannot be read", e.getMessage());
-            broken(Outcome.ERROR);
-            close();
+            unreadable(e.getMessage());
         }
     }
 
+    /** It has run, and any backend's answer may be spoilt so. */
+    private void unreadable(String why) {
+        LOG.warning("a backend's answer cannot be read", why);
+        CallOut over = detach();
+        close();
+        owner.ended(over, Outcome.UNREADABLE, NO_REPORT);
+    }
+
+    /** Guards against an answer that begins and does not go on: its client would wait for nothing. */
+    private void lookIn(long delayUs, CallOut of) {
+        loop.in(delayUs, () -> {
+            long leftUs = heardUs + HALF_US - loop.nowUs();
+            if (callOut == of && !isClosed() && leftUs > 0) {
+                lookIn(leftUs, of);
+            } else if (callOut == of && !isClosed()) {
+                unreadable("it stops halfway");
+            }
+        });
+    }
+
     /** The client first, then the connection's next use, then the news of it, upon which that use may come. */
     private void whole(boolean keeps) {
         CallOut over = detach();
@@ -121,10 +152,6 @@
         owner.ended(over, outcome, report);
     }
 
-    private void broken(Outcome outcome) {
-        owner.ended(detach(), outcome, NO_REPORT);
-    }
-
     private CallOut detach() {
         CallOut over = callOut;
         callOut = null;
@@ -148,11 +175,7 @@
         if (callOut == null) {
             return;
         }
-        if (reader.ended()) {
-            whole(false);
-        } else {
-            broken(written ? Outcome.RESET : Outcome.CONNECT_FAILED);
-        }
+        owner.ended(detach(), written ? Outcome.RESET : Outcome.CONNECT_FAILED, NO_REPORT);
     }
 
     /** Nobody waits any more: the backend sees the connection close. */
--- a/src/main/java/hopdrum/frontdoor/memory/CounterConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/CounterConnection.java
@@ -124,25 +124,40 @@
         lastHeardUs = loop.nowUs();
         try {
             while (!isClosed() && reader.read(in)) {
+                Outcome outcome = CounterProtocol.outcome(reader);
+                double total = outcome == Outcome.OK ? CounterProtocol.total(in, reader) : 0;
                 Call call = unanswered.poll();
                 if (call == null) {
                     close();
                     return;
                 }
                 awaited.remove(call);
-                boolean added = reader.status() == 200;
-                double total = added ? CounterProtocol.total(in, reader) : 0;
                 boolean keeps = reader.keepAlive();
                 reader.done(in);
-                report(call, added ? Outcome.OK : Outcome.FULL, total);
+                report(call, outcome, total);
                 if ((!keeps || leaves && unanswered.isEmpty()) && !isClosed()) {
                     ended();
                     close();
                 }
             }
         } catch (BadMessage e) {
-            ended();
-            close();
+            unreadable();
+        }
+    }
+
+    /** The call at the front was added, and its answer is spoilt; no other answer can be told on this connection. */
+    private void unreadable() {
+        Call call = unanswered.poll();
+        if (call != null) {
+            report(call, Outcome.UNREADABLE, 0);
+        }
+        giveUp();
+    }
+
+    /** Guards against an answer that begins and does not go on: all behind it would wait. */
+    public void giveUpHalfAnswer(long silentUs) {
+        if (!isClosed() && !in.isEmpty() && loop.nowUs() - lastHeardUs > silentUs) {
+            unreadable();
         }
     }
 
@@ -151,7 +166,7 @@
     protected void ended() {
         while (!unanswered.isEmpty()) {
             Call call = unanswered.poll();
-            report(call, call.writtenAt <= written ? Outcome.TIMED_OUT : Outcome.CONNECT_FAILED, 0);
+            report(call, call.writtenAt <= written ? Outcome.RESET : Outcome.CONNECT_FAILED, 0);
         }
         awaited.clear();
     }
--- a/src/main/java/hopdrum/frontdoor/memory/Pool.java
+++ b/src/main/java/hopdrum/frontdoor/memory/Pool.java
@@ -4,10 +4,12 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Set;
 
 /** The connections to one backend; those that wait are used again last used first. */
 public final class Pool {
+    private static final long REST_US = 2_000;
     public final long backend;
     private InetSocketAddress address;
     private final Set<BackendConnection> open = new HashSet<>();        // one goes as it is closed
@@ -46,8 +48,21 @@
         return open.isEmpty();
     }
 
-    public BackendConnection takeIdle() {
-        return idle.pollLast();
+    /**
+     * The last used of those that have rested. Guards against bytes that come just behind an answer (a second copy of
+     * it): they must not be there, or on their way, when the next call-out is written.
+     */
+    public BackendConnection takeIdle(long nowUs) {
+        Iterator<BackendConnection> lastUsedFirst = idle.descendingIterator();
+        while (lastUsedFirst.hasNext()) {
+            BackendConnection connection = lastUsedFirst.next();
+            if (nowUs - connection.idleSinceUs() >= REST_US) {
+                lastUsedFirst.remove();
+                connection.readNow(); // closes it if there is anything
+                return connection.isClosed() ? takeIdle(nowUs) : connection;
+            }
+        }
+        return null;
     }
 
     public void opened(BackendConnection connection) {
--- a/src/main/java/hopdrum/frontdoor/wire/BackendAnswer.java
+++ b/src/main/java/hopdrum/frontdoor/wire/BackendAnswer.java
@@ -3,6 +3,7 @@
 import static hopdrum.frontdoor.wire.HttpReader.ascii;
 
 import hopdrum.host.Outcome;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 
@@ -29,7 +30,8 @@
                 return Outcome.FULL;
             }
         }
-        return Outcome.ERROR;
+        // Turned away for what it is: nothing ran, and neither this backend is to blame nor would another take it.
+        return in.status() >= 400 && in.status() < 500 ? Outcome.MOOT : Outcome.ERROR;
     }
 
     /** The load report, in the order of the settings' fields; empty if there is none or it lacks one of them. */
@@ -40,20 +42,30 @@
         }
         String text = ring.text(in.valueFrom(field), in.valueTo(field));
         float[] report = new float[wanted.size()];
-        int found = 0;
+        Arrays.fill(report, Float.NaN);
         for (String part : text.substring(text.indexOf(' ') + 1).split(",")) {
             int eq = part.indexOf('=');
             String name = eq < 0 ? "" : part.substring(0, eq).strip();
-            int place = wanted.indexOf(name) >= 0 ? wanted.indexOf(name) : wanted.indexOf(NAMES.get(name));
+            int place = wanted.indexOf(name) >= 0 ? wanted.indexOf(name) : wanted.indexOf(NAMES.getOrDefault(name, ""));
             if (place >= 0) {
-                try {
-                    report[place] = Float.parseFloat(part.substring(eq + 1));
-                    found++;
-                } catch (NumberFormatException e) {
-                    return NO_REPORT;
-                }
+                report[place] = figure(part.substring(eq + 1).strip());
             }
         }
-        return found == wanted.size() ? report : NO_REPORT;
+        for (float figure : report) {
+            if (Float.isNaN(figure)) {
+                return NO_REPORT; // one that is spoilt, or lacks a figure, is no report
+            }
+        }
+        return report;
+    }
+
+    /** A figure that is finite and not below 0, else not a number. */
+    private static float figure(String text) {
+        try {
+            float figure = Float.parseFloat(text);
+            return figure >= 0 && figure < Float.POSITIVE_INFINITY ? figure : Float.NaN;
+        } catch (NumberFormatException e) {
+            return Float.NaN;
+        }
     }
 }
--- a/src/main/java/hopdrum/frontdoor/wire/CounterProtocol.java
+++ b/src/main/java/hopdrum/frontdoor/wire/CounterProtocol.java
@@ -2,6 +2,8 @@
 
 import static hopdrum.frontdoor.wire.HttpReader.ascii;
 
+import hopdrum.host.Outcome;
+
 /** Calls on the counter, and what its answers say. */
 public final class CounterProtocol {
     private static final byte[] CALL = ascii("POST /v2/numbers/");
@@ -36,6 +38,14 @@
         return part == 0 ? whole : whole + "." + Long.toString(1_000_000 + part).substring(1);
     }
 
+    public static Outcome outcome(HttpReader in) throws BadMessage {
+        return switch (in.status()) {
+            case 200 -> Outcome.OK;
+            case 400, 404, 503 -> Outcome.FULL;
+            default -> throw new BadMessage(400, "the counter answers " + in.status());
+        };
+    }
+
     /** The total of an answer of 200. */
     public static double total(Ring ring, HttpReader in) throws BadMessage {
         try {
--- a/src/main/java/hopdrum/frontdoor/wire/HttpReader.java
+++ b/src/main/java/hopdrum/frontdoor/wire/HttpReader.java
@@ -20,6 +20,8 @@
     private static final byte[] KEEP_ALIVE = ascii("keep-alive");
     private static final byte[] CHUNKED = ascii("chunked");
     private static final byte[] CONTINUE = ascii("100-continue");
+    private static final int MOST_INTERIM = 16;
+    private static final byte[] HTTP_1 = ascii("HTTP/1.");
     private static final byte[] HTTP_11 = ascii("HTTP/1.1");
     private static final byte[] HTTP_10 = ascii("HTTP/1.0");
 
@@ -48,6 +50,7 @@
     private int verbTo;
     private int targetTo;
     private int status;
+    private int interim;           // answers of 1xx before this one
     private int headTo;
     private int bodyTo;
     private int end;
@@ -75,12 +78,14 @@
         return state == State.WHOLE;
     }
 
-    /** The connection has ended: true if that is where the message ends. */
-    public boolean ended() {
-        if (state == State.UNTIL_CLOSE) {
-            whole(bodyTo, bodyTo);
-        }
-        return state == State.WHOLE;
+    /** Its head is whole and states no end of the body: only the connection's end would be one. */
+    public boolean isUntilClose() {
+        return state == State.UNTIL_CLOSE;
+    }
+
+    /** Its head is all that counts. */
+    public void endAtHead() {
+        whole(headTo, headTo);
     }
 
     /** Takes the message off the ring and starts anew. */
@@ -101,6 +106,7 @@
     private void whole(int bodyEnd, int messageEnd) {
         bodyTo = bodyEnd;
         end = messageEnd;
+        interim = 0;
         state = State.WHOLE;
     }
 
@@ -112,12 +118,30 @@
     }
 
     private boolean head(Ring ring) throws BadMessage {
+        while (headEnds(ring)) {
+            if (kind == Kind.REQUEST || status >= 200) {
+                frame(ring);
+                return true;
+            }
+            if (status == 101 || ++interim > MOST_INTERIM) {
+                throw new BadMessage(400, "a switch of protocols, or interim answers without end");
+            }
+            end = headTo;
+            done(ring);
+        }
+        return false;
+    }
+
+    private boolean headEnds(Ring ring) throws BadMessage {
         while (scanned == 0 && !ring.isEmpty() && (ring.at(0) == '\r' || ring.at(0) == '\n')) {
             ring.skip(1); // empty lines before a message are allowed
         }
         int size = ring.size();
         while (scanned < size) {
             byte b = ring.at(scanned++);
+            if (kind == Kind.RESPONSE && scanned <= HTTP_1.length && b != HTTP_1[scanned - 1]) {
+                throw new BadMessage(400, "no answer of HTTP/1"); // noise may never hold a line's end
+            }
             if (b == '\n') {
                 int to = scanned - 2;
                 if (to < lineFrom || ring.at(to) != '\r') {
@@ -125,7 +149,7 @@
                 }
                 if (to == lineFrom) {
                     headTo = scanned;
-                    return headEnded(ring);
+                    return true;
                 }
                 line(ring, lineFrom, to);
                 lineFrom = scanned;
@@ -141,19 +165,6 @@
         return false;
     }
 
-    private boolean headEnded(Ring ring) throws BadMessage {
-        if (kind == Kind.RESPONSE && status < 200) {
-            if (status == 101) {
-                throw new BadMessage(400, "a switch of protocols that nobody asked for");
-            }
-            end = headTo;
-            done(ring);
-            return head(ring);
-        }
-        frame(ring);
-        return true;
-    }
-
     private void line(Ring ring, int from, int to) throws BadMessage {
         if (!started) {
             started = true;
--- a/src/main/java/hopdrum/host/Outcome.java
+++ b/src/main/java/hopdrum/host/Outcome.java
@@ -1,6 +1,9 @@
 package hopdrum.host;
 
-/** How a call-out, a probe or a call to the counter ended. */
+/**
+ * How a call-out, a probe or a call to the counter ended. UNREADABLE: an answer came that cannot be read; what was
+ * asked for has run, and whoever was asked is no worse than others.
+ */
 public enum Outcome {
-    OK, ERROR, FULL, TIMED_OUT, CONNECT_FAILED, RESET, CANCELLED, MOOT
+    OK, ERROR, FULL, TIMED_OUT, CONNECT_FAILED, RESET, CANCELLED, MOOT, UNREADABLE
 }
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -141,10 +141,11 @@
             answerUs += (tookUs - answerUs) / 8;
             customer.answered(count, total);
         } else {
-            paceDown();
+            boolean answers = outcome == Outcome.UNREADABLE || outcome == Outcome.RESET;
+            if (!answers) paceDown(); // a spoilt answer, or one lost behind it, is no sign of a crowd
             silence(count);
             // A call turned away was not added, nor was one that an outage took; a busy counter adds late.
-            boolean added = outcome == Outcome.TIMED_OUT && lastAnswerUs >= count.sentUs;
+            boolean added = answers || outcome == Outcome.TIMED_OUT && lastAnswerUs >= count.sentUs;
             customer.owed += added ? 0 : count.amount - count.excess; // whoever reads it next sees the excess
             customer.owed -= count.rpc != null && !count.rpc.admitted ? count.rpc.weight : 0;
         }
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -60,6 +60,36 @@
         assertThat(door.heard("push back")).isEmpty();
     }
 
+    @Test
+    void answersThatCannotBeReadAreTriedElsewhereAndNobodysFault() {
+        door.start(2);
+        for (int i = 1; i <= 10; i++) {
+            Policy.Rpc rpc = door.takeInQuota();
+            if (door.heard("call-out " + i + " ").get(0).endsWith("to 1")) {
+                door.end(rpc, 0, Outcome.UNREADABLE, 1_000);
+                assertThat(door.heard("call-out " + i + " ").get(1)).endsWith("to 2");
+                door.end(rpc, 1, Outcome.OK, 500_000);
+            } else {
+                door.end(rpc, 0, Outcome.OK, 500_000);
+            }
+            door.pass(100_000);
+        }
+        assertThat(door.heard("call-out").stream().filter(a -> a.endsWith("to 1")).count()).isGreaterThan(4);
+    }
+
+    @Test
+    void aTotalThatCannotBeReadWasAddedAndSaysNothingOfACrowd() {
+        door.start(2);
+        door.answer(door.take() == null ? 0 : 1);
+        for (int i = 0; i < 5; i++) {
+            door.pass(1_000_000);
+            door.take();
+            door.policy.counted(door.lastName(), Outcome.UNREADABLE, 0, 1_000);
+        }
+        assertThat(door.heard("call-out")).as("let in by the slice of what is known").hasSizeGreaterThan(3);
+        assertThat(door.heard("add")).as("asked at each, and nothing owed").hasSize(6).allMatch(a -> a.equals("add 1.0"));
+    }
+
     @Test
     void notAllBackendsAreEverEjected() {
         door.start(2);
