Heads are held against the settings; who says nothing or half a head makes room in time

At fault: ClientConnection let who says nothing, or half a message, stand 10 s, and Clients.shed() took idle usual clients first and left the silent alone; accept() paused although nobody waited, and while paused every answer closed its connection; RpcHead took any units to 1e9, any set, hexadecimal and suffixed figures, fields given twice, any verb; a trace id was not compared with those open here; Link.read() filled the whole ring from one sender.

Now: units to the settings' most, sets within the front doors, GET or POST by the method, each field once, an open trace id is 409. Silent for 2 s: closed; half a message for 2.5 s: 408. Room is made by those that have their last answer, then the silent, then the idle. 32 accepts and 16 KiB a turn.

--- a/src/main/java/hopdrum/frontdoor/Clients.java
+++ b/src/main/java/hopdrum/frontdoor/Clients.java
@@ -22,6 +22,8 @@
     private static final int BACKLOG = 1024;
     private static final long PAUSE_US = 50_000;
     private static final long LEAST_IDLE_US = 250_000;
+    private static final long LEAST_SILENT_US = 50_000;
+    private static final int MOST_AT_ONCE = 32;         // accepted: guards what is under way against a burst
 
     /** Who takes RPCs. */
     interface Owner {
@@ -38,6 +40,8 @@
     private final ServerSocketChannel listener;
     private final SelectionKey key;
     private final Set<ClientConnection> open = new LinkedHashSet<>();  // one goes as it is closed
+    private final Set<ClientConnection> silent = new LinkedHashSet<>();    // have not said anything yet; the same
+    private final Set<ClientConnection> lingering = new LinkedHashSet<>(); // have their last answer; the same
     private final Set<ClientConnection> idle = new LinkedHashSet<>();  // longest idle first; the same
     private boolean paused;
     private boolean stopping;
@@ -68,7 +72,10 @@
     }
 
     private void accept() throws IOException {
-        while (listener.isOpen()) {
+        for (int i = 0; i < MOST_AT_ONCE && listener.isOpen(); i++) {
+            if (!budget.clientFits() && i > 0) {
+                return; // the selector tells if there is another
+            }
             if (!budget.clientFits()) {
                 shed();
             }
@@ -82,7 +89,9 @@
             }
             budget.client(1);
             try {
-                open.add(new ClientConnection(loop, channel, budget, this));
+                ClientConnection client = new ClientConnection(loop, channel, budget, this);
+                open.add(client);
+                silent.add(client);
             } catch (IOException e) {
                 budget.client(-1);
                 LOG.warning("a client's connection ended at once", e.getMessage());
@@ -91,21 +100,31 @@
     }
 
     /**
-     * Clients that wait for nothing lose their connection first. Guards against losing what a client has just sent: one
-     * whose bytes are there already is not idle, and one that was answered a moment ago may be writing its next.
+     * Clients that wait for nothing lose their connection first: those that have their last answer, those that came and
+     * say nothing, those idle. Guards against losing what a client has just sent: one whose bytes are there already is
+     * not idle, and one that came or was answered a moment ago may be writing.
      */
     private void shed() {
-        while (!idle.isEmpty()) {
-            ClientConnection longestIdle = idle.iterator().next();
-            if (loop.nowUs() - longestIdle.idleSinceUs() < LEAST_IDLE_US) {
-                return;
+        if (!lingering.isEmpty()) {
+            lingering.iterator().next().close();
+        } else if (!shed(silent, LEAST_SILENT_US)) {
+            shed(idle, LEAST_IDLE_US);
+        }
+    }
+
+    private boolean shed(Set<ClientConnection> from, long leastUs) {
+        while (!from.isEmpty()) {
+            ClientConnection longest = from.iterator().next();
+            if (loop.nowUs() - longest.idleSinceUs() < leastUs) {
+                return false;
             }
-            if (closeIfIdle(longestIdle)) {
-                LOG.info("an idle client's connection is closed to make room", null);
-                return;
+            if (closeIfIdle(longest)) {
+                LOG.info("a client's connection without an RPC is closed to make room", null);
+                return true;
             }
-            idle.remove(longestIdle);
+            from.remove(longest);
         }
+        return false;
     }
 
     private static boolean closeIfIdle(ClientConnection client) {
@@ -158,6 +177,12 @@
     @Override
     public void busy(ClientConnection client) {
         idle.remove(client);
+        silent.remove(client);
+    }
+
+    @Override
+    public void lingers(ClientConnection client) {
+        lingering.add(client);
     }
 
     @Override
@@ -169,6 +194,8 @@
     public void released(ClientConnection client) {
         budget.client(-1);
         idle.remove(client);
+        silent.remove(client);
+        lingering.remove(client);
         open.remove(client);
         if (paused) {
             loop.soon(this::resume);
@@ -188,7 +215,10 @@
     /** What has connected by now is still served; nothing more is accepted, and idle connections close. */
     void stopAccepting() {
         try {
-            accept();
+            for (int before = -1; before != open.size() && !paused; ) {
+                before = open.size();
+                accept();
+            }
             listener.close();
         } catch (IOException e) {
             LOG.warning("the listening socket did not close cleanly", e.getMessage());
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -17,7 +17,6 @@
 import hopdrum.frontdoor.wire.RpcHead;
 import hopdrum.host.Host;
 import hopdrum.host.Listed;
-import hopdrum.host.Method;
 import hopdrum.host.Outcome;
 import hopdrum.policy.Policy;
 import java.io.IOException;
@@ -34,7 +33,7 @@
     private static final Log LOG = new Log("frontdoor");
     private static final float[] NO_REPORT = {};
     private static final long ACCEPT_ON_US = 500_000;
-    private static final long SLOW_US = 10_000_000;
+    private static final long SLOW_US = 2_500_000;
     private static final long CHECK_US = 250_000;
     private static final long TALLY_US = 10_000_000;
 
@@ -71,7 +70,8 @@
         this.loop = loop;
         budget = new Budget(config.sockets(), config.memoryMb() * (1L << 20) / 6, SLOW_US);
         directory = new Directory(config.zones(), config.kinds());
-        head = new RpcHead(config.methods(), config.plans());
+        head = new RpcHead(config.methods(), config.plans(), config.settings().methods(),
+                config.settings().gateways(), config.mostUnits());
         policy = new Policy(config.settings(), config.seed(), this);
         counter = new Counter(loop, config.counter(), config.settings().countWaitUs(), budget, this);
         peers = config.peerListen() == null || !config.settings().mayTell() ? null
@@ -173,11 +173,10 @@
     @Override
     public void take(ClientConnection client) throws BadMessage {
         head.read(client.bytes(), client.message());
-        Method.Repeat repeat = config.settings().methods().get(head.method).repeat();
-        if (repeat == Method.Repeat.DEDUPLICATED && !head.isMarked(client.bytes(), client.message())) {
-            throw new BadMessage(400, "no Idempotency-Key");
+        OpenRpc rpc = rpcs.open(client, head.trace);
+        if (rpc == null) {
+            throw new BadMessage(409, "the X-Trace-Id is another RPC's that is open");
         }
-        OpenRpc rpc = rpcs.open(client);
         client.took(rpc);
         tally.taken++;
         long leftUs = Math.max(1, head.leftMs * 1000 - client.ageUs());
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Config.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Config.java
@@ -16,7 +16,8 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress counter,
                      InetSocketAddress peerListen, List<InetSocketAddress> peers, long seed, int memoryMb,
                      int sockets, Map<?, ?> known, Settings settings, List<String> methods, List<String> plans,
-                     List<String> zones, List<String> kinds, long dialTimeOutUs, long idleUs) {
+                     List<String> zones, List<String> kinds, long dialTimeOutUs, long idleUs,
+                     double mostUnits) {
 
     /** Throws IllegalArgumentException with one plain sentence where the file cannot be used. */
     public static Config read(Path file) {
@@ -49,7 +50,8 @@
                 all.get("known") instanceof Map<?, ?> known ? known : null, settings,
                 names(pairs, "Lanes.", "Name"), names(pairs, "Packages.", "Name"),
                 words(pairs, "Azs"), words(pairs, "Flavors"),
-                Math.max(1000, figure(pairs, "Bounds.DialTimeoutUs")), figure(pairs, "Bounds.ConnIdleUs"));
+                Math.max(1000, figure(pairs, "Bounds.DialTimeoutUs")), figure(pairs, "Bounds.ConnIdleUs"),
+                Double.parseDouble(pairs.getOrDefault("FamilyInfo.Largest", "0")));
     }
 
     /** Nested JSON to the paths of the bench's wire: a list of objects has its length under .count. */
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Link.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Link.java
@@ -16,6 +16,7 @@
     protected final Loop loop;
     protected final Ring in;
     protected final Ring out;
+    private static final int TURN = 16 << 10; // bytes read at a time: guards all others against one at full speed
     private final SocketChannel channel;
     private final SelectionKey key;
     private boolean connected;
@@ -130,7 +131,8 @@
     private void read() throws IOException {
         boolean any = false;
         boolean end = false;
-        while (!in.isFull()) {
+        int from = in.size();
+        while (!in.isFull() && in.size() - from < TURN) {
             if (in.size() > 0 && in.space().remaining() == 0 && !in.reserve(1)) {
                 break;
             }
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
@@ -11,6 +11,7 @@
 import hopdrum.frontdoor.wire.RpcHead;
 import hopdrum.host.Host;
 import hopdrum.host.Listed;
+import hopdrum.host.Method;
 import hopdrum.host.Outcome;
 import hopdrum.policy.Policy;
 import java.util.ArrayDeque;
@@ -52,7 +53,8 @@
 
     private Warmup(Config config) {
         this.config = config;
-        head = new RpcHead(config.methods(), config.plans());
+        head = new RpcHead(config.methods(), config.plans(), config.settings().methods(),
+                config.settings().gateways(), config.mostUnits());
         compose();
         policy = new Policy(config.settings(), 1, this);
         policy.listed(Listed.Form.CACHED, List.of(listed(1), listed(2), listed(3)));
@@ -80,7 +82,6 @@
         put(client, rpcsAsSent.get(number % rpcsAsSent.size()));
         request.read(client);
         head.read(client, request);
-        head.isMarked(client, request);
         long id = number;
         Policy.Rpc rpc = policy.take(id, head.method, head.customer, head.plan, head.units, head.firstGateway,
                 head.gateways, head.leftMs * 1000);
@@ -105,11 +106,15 @@
         for (int i = 0; i < CUSTOMERS; i++) {
             for (int plan = 0; plan < config.plans().size(); plan++) {
                 for (String method : config.methods()) {
-                    rpcsAsSent.add(ascii("POST /api HTTP/1.1\r\nHost: backend\r\nX-Trace-Id: 9b1f03aa5c7e2d41\r\nX-Qos: "
+                    boolean gets = config.settings().methods().get(config.methods().indexOf(method)).repeat()
+                            == Method.Repeat.IDEMPOTENT;
+                    rpcsAsSent.add(ascii((gets ? "GET" : "POST")
+                            + " /api HTTP/1.1\r\nHost: backend\r\nX-Trace-Id: 9b1f03aa5c7e2d41\r\nX-Qos: "
                             + method + "\r\nPlan: " + config.plans().get(plan) + "\r\nCookie: key=00000000000000"
                             + (char) ('0' + i) + (char) ('0' + plan % 10)
-                            + "\r\nX-Expires-In-Ms: 2000\r\nIdempotency-Key: 5c0f6e1a\r\nContent-Length: 8\r\n"
-                            + "Quota-Info: units=1,spread=2,first=0\r\n\r\n12345678"));
+                            + "\r\nX-Expires-In-Ms: 2000\r\nIdempotency-Key: 5c0f6e1a\r\n"
+                            + (gets ? "" : "Content-Length: 8\r\n")
+                            + "Quota-Info: units=1,spread=1,first=0\r\n\r\n" + (gets ? "" : "12345678")));
                 }
             }
         }
--- a/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
@@ -22,6 +22,9 @@
 
         void busy(ClientConnection client);
 
+        /** Its last answer is written, and only its end is waited for. */
+        void lingers(ClientConnection client);
+
         void left(ClientConnection client);
 
         void released(ClientConnection client);
@@ -33,6 +36,7 @@
     private static final Log LOG = new Log("clients");
     private static final int MOST_BYTES = 128 << 10;
     private static final long LINGER_US = 1_000_000;
+    private static final long SILENT_US = 2_000_000;    // a connection that asks nothing may be closed then
     private final Owner owner;
     private final long slowUs;
     private final HttpReader reader = new HttpReader(HttpReader.Kind.REQUEST);
@@ -41,13 +45,15 @@
     private long behindUs;         // before the first byte of what came in behind it
     private Loop.Timer slow;
     private long idleSinceUs;
+    private int dropped;           // bytes that came after the last answer
     private boolean closing;       // the last answer is written or being written
 
     public ClientConnection(Loop loop, SocketChannel channel, Budget budget, Owner owner) throws IOException {
         super(loop, channel, MOST_BYTES, budget);
         this.owner = owner;
         this.slowUs = budget.slowUs();
-        slow = loop.in(slowUs, this::saysNothing);
+        slow = loop.in(SILENT_US, this::saysNothing);
+        idleSinceUs = loop.nowUs();
     }
 
     public Ring bytes() {
@@ -75,7 +81,12 @@
     @Override
     protected void received() {
         if (closing) {
+            dropped += in.size();
             in.skip(in.size());
+            in.shrink();
+            if (dropped > MOST_BYTES) {
+                close(); // guards against one that goes on sending at full speed
+            }
             return;
         }
         if (rpc != null) {
@@ -125,10 +136,13 @@
         }
     }
 
-    /** Until then a new connection is no idle one: what its client opened it for may be on its way. */
+    /** What it was opened for would have come long ago. */
     private void saysNothing() {
         slow = null;
-        goesIdle();
+        readNow();
+        if (!isClosed() && isIdle()) {
+            close();
+        }
     }
 
     private void goesIdle() {
@@ -143,7 +157,12 @@
 
     private void tooSlow() {
         LOG.info("a client that sends or reads too slowly is cut off", null);
-        close();
+        if (closing || !out.isEmpty() || rpc != null) {
+            close();
+        } else {
+            slow = null;
+            answer(408, 0, true);
+        }
     }
 
     private void stopClock() {
@@ -210,7 +229,10 @@
         stopClock();
         if (closing && !isClosed()) {
             endSending(); // closing at once could reset the connection under the answer
-            slow = loop.in(LINGER_US, this::close);
+            if (!isClosed()) {
+                slow = loop.in(LINGER_US, this::close);
+                owner.lingers(this);
+            }
         }
     }
 
--- a/src/main/java/hopdrum/frontdoor/memory/OpenRpc.java
+++ b/src/main/java/hopdrum/frontdoor/memory/OpenRpc.java
@@ -7,12 +7,14 @@
 /** One RPC under way: its handle at Policy, the client that waits for it, its call-outs. */
 public final class OpenRpc {
     public final long id;
+    final String trace;
     public final List<CallOut> callOuts = new ArrayList<>(1);
     public ClientConnection client;     // null once it has its answer, or has left
     public Policy.Rpc handle;
 
-    OpenRpc(long id, ClientConnection client) {
+    OpenRpc(long id, String trace, ClientConnection client) {
         this.id = id;
+        this.trace = trace;
         this.client = client;
     }
 }
--- a/src/main/java/hopdrum/frontdoor/memory/Rpcs.java
+++ b/src/main/java/hopdrum/frontdoor/memory/Rpcs.java
@@ -1,15 +1,22 @@
 package hopdrum.frontdoor.memory;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /** The RPCs under way, by the numbers that Policy knows them by. An entry goes when Policy says that it is over. */
 public final class Rpcs {
     private final Map<Long, OpenRpc> open = new HashMap<>();
+    private final Set<String> traces = new HashSet<>(); // theirs
     private long next = 1;
 
-    public OpenRpc open(ClientConnection client) {
-        OpenRpc rpc = new OpenRpc(next++, client);
+    /** Null while another with that trace id is under way: guards against a client that takes over another's. */
+    public OpenRpc open(ClientConnection client, String trace) {
+        if (!traces.add(trace)) {
+            return null;
+        }
+        OpenRpc rpc = new OpenRpc(next++, trace, client);
         open.put(rpc.id, rpc);
         return rpc;
     }
@@ -20,13 +27,15 @@
 
     public void closeIfOver(OpenRpc rpc) {
         if (rpc.handle.over()) {
-            open.remove(rpc.id);
+            drop(rpc);
         }
     }
 
     /** The number was given out and Policy never took the RPC. */
     public void drop(OpenRpc rpc) {
-        open.remove(rpc.id);
+        if (open.remove(rpc.id) != null) {
+            traces.remove(rpc.trace);
+        }
     }
 
     public int size() {
--- a/src/main/java/hopdrum/frontdoor/wire/HttpWriter.java
+++ b/src/main/java/hopdrum/frontdoor/wire/HttpWriter.java
@@ -18,7 +18,7 @@
             ascii("trailer"), ascii("transfer-encoding"), ascii("upgrade"), ascii("proxy-connection"),
             ascii("content-length"), ascii("endpoint-load-metrics"), ascii("x-never-ran"));
     private static final Map<Integer, String> REASONS = Map.of(200, "OK", 400, "Bad Request", 404, "Not Found",
-            413, "Content Too Large", 429, "Too Many Requests", 431, "Request Header Fields Too Large",
+            408, "Request Timeout", 413, "Content Too Large", 429, "Too Many Requests", 431, "Request Header Fields Too Large",
             500, "Internal Server Error", 503, "Service Unavailable");
 
     private HttpWriter() {
--- a/src/main/java/hopdrum/frontdoor/wire/RpcHead.java
+++ b/src/main/java/hopdrum/frontdoor/wire/RpcHead.java
@@ -2,6 +2,7 @@
 
 import static hopdrum.frontdoor.wire.HttpReader.ascii;
 
+import hopdrum.host.Method;
 import java.util.List;
 
 /** What a client's head says of its RPC: read from the fields of a whole HTTP request, and written for a backend. */
@@ -13,6 +14,8 @@
     private static final byte[] EXPIRES = ascii("x-expires-in-ms");
     private static final byte[] KEY = ascii("idempotency-key");
     private static final byte[] QUOTA = ascii("quota-info");
+    private static final byte[] GET = ascii("GET");
+    private static final byte[] POST = ascii("POST");
     private static final byte[] RPC_PATH = ascii("/api");
     private static final byte[] READY = ascii("GET /health/ready ");
     // Fields that are spoken between two neighbours only, and those that this program writes itself.
@@ -24,8 +27,15 @@
     private static final byte[] HEAD_END = ascii("\r\n\r\n");
     private static final long MOST_CUSTOMER = 1L << 33;
 
+    private static final double MOST_UNITS = 1e6;      // where the settings name no most
+    private static final int MOST_TRACE = 64;
+
     private final byte[][] methods;
     private final byte[][] plans;
+    private final List<Method> rows;
+    private final int mostGateways;
+    private final double mostUnits;
+    public String trace;
     public int method;
     public int plan;
     public long customer;
@@ -34,7 +44,11 @@
     public int firstGateway;
     public long leftMs;
 
-    public RpcHead(List<String> methods, List<String> plans) {
+    /** A most of 0 units is none. */
+    public RpcHead(List<String> methods, List<String> plans, List<Method> rows, int mostGateways, double mostUnits) {
+        this.rows = rows;
+        this.mostGateways = mostGateways;
+        this.mostUnits = mostUnits > 0 ? mostUnits : MOST_UNITS;
         this.methods = methods.stream().map(HttpReader::ascii).toArray(byte[][]::new);
         this.plans = plans.stream().map(HttpReader::ascii).toArray(byte[][]::new);
     }
@@ -53,10 +67,11 @@
         if (!ring.matches(pathFrom, pathTo, RPC_PATH)) {
             throw new BadMessage(404, "unknown path");
         }
-        int trace = needed(ring, in, TRACE, "X-Trace-Id");
-        if (in.valueFrom(trace) == in.valueTo(trace)) {
-            throw new BadMessage(400, "X-Trace-Id is empty");
+        int id = needed(ring, in, TRACE, "X-Trace-Id");
+        if (in.valueFrom(id) == in.valueTo(id) || in.valueTo(id) - in.valueFrom(id) > MOST_TRACE) {
+            throw new BadMessage(400, "X-Trace-Id is empty or too long");
         }
+        trace = ring.text(in.valueFrom(id), in.valueTo(id));
         method = choice(ring, in, needed(ring, in, QOS, "X-Qos"), methods, "X-Qos");
         plan = choice(ring, in, needed(ring, in, PLAN, "Plan"), plans, "Plan");
         customer = customer(ring, in);
@@ -66,10 +81,25 @@
             throw new BadMessage(400, "X-Expires-In-Ms is malformed");
         }
         quota(ring, in, needed(ring, in, QUOTA, "Quota-Info"));
+        verb(ring, in);
     }
 
-    public boolean isMarked(Ring ring, HttpReader in) {
-        return in.field(ring, KEY) >= 0;
+    /** What may be repeated is got, without a body; the rest is posted, and what is deduplicated needs its key. */
+    private void verb(Ring ring, HttpReader in) throws BadMessage {
+        Method.Repeat repeat = rows.get(method).repeat();
+        boolean gets = repeat == Method.Repeat.IDEMPOTENT;
+        if (!ring.matches(0, in.verbTo(), gets ? GET : POST)) {
+            throw new BadMessage(405, "the verb does not fit the method");
+        }
+        if (gets && in.bodyTo() > in.bodyFrom()) {
+            throw new BadMessage(400, "a body where there is none");
+        }
+        if (repeat == Method.Repeat.DEDUPLICATED) {
+            int key = needed(ring, in, KEY, "Idempotency-Key");
+            if (in.valueFrom(key) == in.valueTo(key)) {
+                throw new BadMessage(400, "Idempotency-Key is empty");
+            }
+        }
     }
 
     private static int needed(Ring ring, HttpReader in, byte[] name, String shown) throws BadMessage {
@@ -77,6 +107,11 @@
         if (field < 0) {
             throw new BadMessage(400, "no " + shown);
         }
+        for (int i = field + 1; i < in.fields(); i++) {
+            if (in.isNamed(ring, i, name)) {
+                throw new BadMessage(400, "more than one " + shown); // two readers could each take another
+            }
+        }
         return field;
     }
 
@@ -90,27 +125,30 @@
     }
 
     private static long customer(Ring ring, HttpReader in) throws BadMessage {
-        for (int i = 0; i < in.fields(); i++) {
-            if (!in.isNamed(ring, i, COOKIE)) {
-                continue;
+        int cookie = needed(ring, in, COOKIE, "Cookie");
+        long customer = -1;
+        int from = in.valueFrom(cookie);
+        while (from < in.valueTo(cookie)) {
+            int to = from;
+            while (to < in.valueTo(cookie) && ring.at(to) != ';') {
+                to++;
             }
-            int from = in.valueFrom(i);
-            while (from < in.valueTo(i)) {
-                int to = from;
-                while (to < in.valueTo(i) && ring.at(to) != ';') {
-                    to++;
-                }
-                if (to - from == 20 && ring.at(from) == 'k' && ring.at(from + 1) == 'e' && ring.at(from + 2) == 'y'
-                        && ring.at(from + 3) == '=') {
-                    return hex(ring, from + 4, to);
-                }
-                from = to + 1;
-                while (from < in.valueTo(i) && ring.at(from) == ' ') {
-                    from++;
+            if (to - from >= 4 && ring.at(from) == 'k' && ring.at(from + 1) == 'e' && ring.at(from + 2) == 'y'
+                    && ring.at(from + 3) == '=') {
+                if (customer >= 0 || to - from != 20) {
+                    throw new BadMessage(400, "the cookie's key is malformed, or there are two");
                 }
+                customer = hex(ring, from + 4, to);
+            }
+            from = to + 1;
+            while (from < in.valueTo(cookie) && ring.at(from) == ' ') {
+                from++;
             }
         }
-        throw new BadMessage(400, "no key in a cookie");
+        if (customer < 0) {
+            throw new BadMessage(400, "no key in the cookie");
+        }
+        return customer;
     }
 
     private static long hex(Ring ring, int from, int to) throws BadMessage {
@@ -125,7 +163,7 @@
         return value;
     }
 
-    /** units=2,spread=3,first=1 in any order, further names skipped. */
+    /** units=2,spread=3,first=1 in any order, further names skipped; each is held against the settings. */
     private void quota(Ring ring, HttpReader in, int field) throws BadMessage {
         units = -1;
         gateways = -1;
@@ -133,22 +171,37 @@
         for (String part : ring.text(in.valueFrom(field), in.valueTo(field)).split(",")) {
             int eq = part.indexOf('=');
             String name = eq < 0 ? "" : part.substring(0, eq).strip();
-            try {
-                switch (name) {
-                    case "units" -> units = Double.parseDouble(part.substring(eq + 1));
-                    case "spread" -> gateways = Integer.parseInt(part.substring(eq + 1).strip());
-                    case "first" -> firstGateway = Integer.parseInt(part.substring(eq + 1).strip());
-                    default -> { }
-                }
-            } catch (NumberFormatException e) {
-                throw new BadMessage(400, "Quota-Info is malformed");
+            String value = part.substring(eq + 1).strip();
+            if (name.equals("units") && units < 0) {
+                units = decimal(value);
+            } else if (name.equals("spread") && gateways < 0) {
+                gateways = (int) whole(value);
+            } else if (name.equals("first") && firstGateway < 0) {
+                firstGateway = (int) whole(value);
+            } else if (List.of("units", "spread", "first").contains(name)) {
+                throw new BadMessage(400, "Quota-Info says one thing twice");
             }
         }
-        if (!(units >= 0 && units <= 1e9) || gateways < 1 || firstGateway < 0) {
-            throw new BadMessage(400, "Quota-Info is malformed");
+        if (!(units > 0 && units <= mostUnits) || gateways < 1 || gateways > mostGateways || firstGateway < 0
+                || firstGateway >= mostGateways) {
+            throw new BadMessage(400, "Quota-Info is malformed or out of range");
         }
     }
 
+    private static long whole(String value) throws BadMessage {
+        if (value.isEmpty() || value.length() > 9 || !value.chars().allMatch(c -> c >= '0' && c <= '9')) {
+            throw new BadMessage(400, "Quota-Info holds no number");
+        }
+        return Long.parseLong(value);
+    }
+
+    /** Digits with a point among them at most: no sign, exponent, hexadecimal figure or suffix. */
+    private static double decimal(String value) throws BadMessage {
+        int point = value.indexOf('.');
+        return point < 0 ? whole(value) : whole(value.substring(0, point))
+                + whole(value.substring(point + 1)) / Math.pow(10, value.length() - point - 1);
+    }
+
     /** Writes the RPC for a backend: all that the client sent but what is between neighbours; false without room. */
     public static boolean forward(Ring from, HttpReader in, long waitMs, Ring to) {
         if (!to.reserve(in.bodyTo() + 128)) {
