--- a/src/main/java/hopdrum/frontdoor/Counter.java
+++ b/src/main/java/hopdrum/frontdoor/Counter.java
@@ -15,8 +15,6 @@
 final class Counter implements CounterConnection.Owner {
     private static final Log LOG = new Log("counter");
     private static final int CONNECTIONS = 2;
-    private static final long CHECK_US = 50_000;
-    private static final long HALF_US = 100_000;        // of silence amid an answer
     private static final long STUCK_US = 1_000_000;
     private static final long MOST_STUCK_US = 8_000_000;
 
@@ -40,7 +38,7 @@
         this.timeOutUs = timeOutUs;
         this.budget = budget;
         this.owner = owner;
-        loop.in(CHECK_US, this::check);
+        loop.in(STUCK_US, this::check);
     }
 
     /** New calls go there at once; those under way end where they are. */
@@ -92,7 +90,6 @@
     private void check() {
         boolean replaced = false;
         for (CounterConnection connection : all()) {
-            connection.giveUpHalfAnswer(HALF_US);
             if (connection.isStuck(stuckUs)) {
                 LOG.warning("a connection to the counter is silent and replaced", null);
                 connection.giveUp();
@@ -100,7 +97,7 @@
             }
         }
         stuckUs = replaced ? Math.min(MOST_STUCK_US, 2 * stuckUs) : stuckUs;
-        loop.in(CHECK_US, this::check);
+        loop.in(STUCK_US / 4, this::check);
     }
 
     @Override
--- a/src/main/java/hopdrum/frontdoor/memory/CounterConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/CounterConnection.java
@@ -21,6 +21,7 @@
     }
 
     private static final int MOST_BYTES = 64 << 10;
+    private static final long HALF_US = 5_000;          // of silence amid an answer of a hundred bytes
 
     private static final class Call {
         final long name;
@@ -43,6 +44,7 @@
     private long put;
     private long written;
     private long lastHeardUs;
+    private long halfUs;        // when it was heard last and left half an answer
     private boolean armed;
     private boolean leaves;
 
@@ -140,6 +142,10 @@
                     close();
                 }
             }
+            if (!isClosed() && !in.isEmpty()) {
+                halfUs = lastHeardUs;
+                loop.in(HALF_US, this::lookForRest);
+            }
         } catch (BadMessage e) {
             unreadable();
         }
@@ -154,9 +160,9 @@
         giveUp();
     }
 
-    /** Guards against an answer that begins and does not go on: all behind it would wait. */
-    public void giveUpHalfAnswer(long silentUs) {
-        if (!isClosed() && !in.isEmpty() && loop.nowUs() - lastHeardUs > silentUs) {
+    /** Guards against an answer that begins and does not go on: all behind it would wait, and time out. */
+    private void lookForRest() {
+        if (!isClosed() && !in.isEmpty() && halfUs == lastHeardUs) {
             unreadable();
         }
     }
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -386,13 +386,14 @@
         } else if (tookUs < settings.countWaitUs() / 6 && allowance < 2) {
             pace *= 1 + PACE_GAIN * (1 + sinceLossS);
         }
-        if (sinceLossS > 5 && pace > 3 * callRate()) {
+        if (sinceLossS > 5 && pace > 1.5 * callRate()) {
             pace = Double.MAX_VALUE;
             knownGoodPace = 0;
         }
     }
 
     private void paceDown() {
+        if (isPaced() && now() - lastLossUs < timeOutUs()) return; // those lost together are one loss
         if (answeredSinceLoss) knownGoodPace = (isPaced() ? pace : callRate()) * PACE_DROP;
         pace = Math.max(LEAST_PACE / settings.gateways(), (isPaced() ? pace : callRate()) * PACE_DROP);
         answeredSinceLoss = false;
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -170,6 +170,29 @@
         assertThat(calls).as("2 s: a window at full pace, then five trials a second").isBetween(20, 80);
     }
 
+    @Test
+    void callsLostTogetherAreOneLossAndPacingEndsOnceTheCounterAnswersAll() {
+        door.start(2);
+        for (int i = 0; i < 20; i++) {
+            door.policy.take(100 + i, 0, 100 + i, 0, 1, 0, 2, 7_500_000);
+        }
+        for (long name : List.copyOf(door.names)) {
+            door.policy.counted(name, Outcome.TIMED_OUT, 0, 50_000);
+        }
+        for (int second = 0; second < 8; second++) {
+            door.asked.clear();
+            for (int i = 0; i < 100; i++) {
+                door.pass(10_000);
+                int asked = door.names.size();
+                door.policy.take(1000 + 100 * second + i, 0, 1000 + 100 * second + i, 0, 1, 0, 2, 7_500_000);
+                if (door.names.size() > asked) {
+                    door.policy.counted(door.lastName(), Outcome.OK, door.totalFor(2), 1_000);
+                }
+            }
+            assertThat(door.heard("add").size()).as("asked in second " + second).isGreaterThan(90);
+        }
+    }
+
     @Test
     void afterAnOutageAGatewayOwesOnlyWhatItsBucketLacks() {
         door.start(3);
