--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -43,7 +43,6 @@
     private static final long SLICED_US = 2_000_000;   // how long a customer beyond is kept to its slices
     private static final int TOLD_BYTES = 12;          // of a message: the customer, and how long
     private static final double MOST_UNUSED = 0.6;     // of the rate, by even slices where gateways are many
-    private static final double MOST_WEIGHT = 4;       // RPCs that one call may stand for
     // The line and the places.
     private static final double FIRST_PLACES = 6;      // at a backend, of all gateways together
     private static final double MOST_PLACES = 64;      // at a backend, of one gateway
@@ -91,8 +90,6 @@
     private long lastCallUs;
     private long lastLossUs;
     private boolean answeredSinceLoss;
-    private int uncounted;                      // let in by a bucket since the last call
-    private double uncountedPerCall;
 
     public Policy(Settings settings, long seed, Host host) {
         this.settings = settings;
@@ -241,6 +238,8 @@
             line.poll();
             if (backend != null) {
                 send(rpc, backend);
+            } else if (!backends.isEmpty() && backends.values().stream().noneMatch(rpc::mayGoTo)) {
+                finish(rpc, 0); // nobody listed may take its repeat: given up, and so answered at once
             } else {
                 bound.add(rpc);
             }
@@ -360,7 +359,7 @@
     /**
      * Guards a counter that is crowded, slow, refusing or dead: a call lost lowers the pace of calls, answers
      * raise it, as in TCP; it ends when calls are far fewer than it allows. Meanwhile the bucket lets in
-     * what it can and calls go to what it would push back; each stands for those let in since the last.
+     * what it can and calls go to what it would push back; each adds what its customer was let in since.
      */
     private boolean isPaced() { return pace < Double.MAX_VALUE; }
 
@@ -394,6 +393,7 @@
 
     private void paceDown() {
         if (isPaced() && now() - lastLossUs < timeOutUs()) return; // those lost together are one loss
+        if (!isPaced()) allowance = 0; // what was not limited is no debt
         if (answeredSinceLoss) knownGoodPace = (isPaced() ? pace : callRate()) * PACE_DROP;
         pace = Math.max(LEAST_PACE / settings.gateways(), (isPaced() ? pace : callRate()) * PACE_DROP);
         answeredSinceLoss = false;
@@ -489,9 +489,7 @@
         }
 
         void ask(Rpc rpc) {
-            uncountedPerCall += 0.1 * (uncounted - uncountedPerCall);
-            uncounted = 0;
-            rpc.weight = rpc.units * (isPaced() ? Math.min(MOST_WEIGHT, 1 + uncountedPerCall) : 1);
+            rpc.weight = rpc.units;
             Count count = add((now() + stagger(key)) / EPOCH_US << CUSTOMER_BITS | key, rpc.weight + owed);
             owed = 0;
             count.rpc = rpc;
@@ -595,7 +593,7 @@
 
         /** Its share of the rate, and of what the more gateways with less of the traffic leave unused. */
         double sliceRate() {
-            double gain = 1 + MOST_UNUSED * Math.max(0, 1 - 2.0 / gateways);
+            double gain = 1 + MOST_UNUSED * Math.max(0, 1 - 4.0 / gateways);
             double most = plan.ceilingRate() > 0 ? plan.ceilingRate() / plan.rate() - 1 : gain;
             return Math.min(gain, most) * plan.rate() / gateways;
         }
@@ -630,9 +628,9 @@
             if (bucket >= rpc.units) {
                 bucket -= rpc.units;
                 credit -= rpc.units;
-                boolean answers = now() - lastAnswerUs < OUTAGE_US;
-                if (!counted && answers) uncounted++;
-                owed += counted || answers ? 0 : rpc.units;
+                boolean told = now() < slicedUntilUs.getOrDefault(key, NEVER); // its reader has added
+                boolean added = counted || told && now() - lastAnswerUs < OUTAGE_US;
+                if (!added) owed += rpc.weight = rpc.units;
                 rpc.admit();
             } else {
                 finish(rpc, returnIn((long) ((rpc.units - bucket) / sliceRate() * 1e6), rpc.units));
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import hopdrum.host.Listed;
+import hopdrum.host.Method;
 import hopdrum.host.Outcome;
+import hopdrum.host.Plan;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
@@ -193,6 +196,38 @@
         }
     }
 
+    @Test
+    void whatABucketLetInWhileCallsArePacedIsAddedByItsOwnCustomersNextCall() {
+        door.gateways = 3;
+        door.plan = new Plan(2, 30, 0, 0, 0, 0);
+        door.start(2);
+        door.takeCounted(20);
+        for (int i = 0; i < 40; i++) { // another customer's calls are turned away but for the last: calls become few
+            door.policy.take(100 + i, 0, 12, 0, 1, 0, 3, 7_500_000);
+            door.policy.counted(door.lastName(), i < 39 ? Outcome.FULL : Outcome.OK, 10, 1_000);
+            door.pass(60_000);
+        }
+        door.asked.clear();
+        int letIn = 0;
+        while (door.heard("add").isEmpty() && letIn < 50) {
+            door.take();
+            letIn++;
+        }
+        assertThat(letIn).as("some without a call").isGreaterThan(1);
+        assertThat(door.heard("add")).as("all of them, and no other's").isEqualTo(List.of("add " + (double) letIn));
+    }
+
+    @Test
+    void aRepeatThatNobodyListedMayTakeIsAnsweredAtOnce() {
+        door.method = new Method(2_000_000, 7_500_000, Method.Repeat.DEDUPLICATED, Method.Group.CELL, 6_000_000, 0, false);
+        door.start(2);
+        Policy.Rpc rpc = door.takeInQuota();
+        long first = door.heard("call-out").get(0).endsWith("to 1") ? 1 : 2;
+        door.list(first, Listed.State.GONE, 0);
+        door.end(rpc, 0, Outcome.RESET, 1_000);
+        assertThat(door.heard("abort")).hasSize(1);
+    }
+
     @Test
     void afterAnOutageAGatewayOwesOnlyWhatItsBucketLacks() {
         door.start(3);
