--- a/src/main/java/hopdrum/frontdoor/Counter.java
+++ b/src/main/java/hopdrum/frontdoor/Counter.java
@@ -15,7 +15,7 @@
 final class Counter implements CounterConnection.Owner {
     private static final Log LOG = new Log("counter");
     private static final int CONNECTIONS = 2;
-    private static final long STUCK_US = 1_000_000;
+    private static final long STUCK_US = 250_000;
     private static final long MOST_STUCK_US = 8_000_000;
 
     /** Who is told how calls end. */
@@ -29,6 +29,7 @@
     private final Budget budget;
     private final Owner owner;
     private long stuckUs = STUCK_US;
+    private long answeredUs;
     private final CounterConnection[] connections = new CounterConnection[CONNECTIONS];
     private final List<CounterConnection> leaving = new ArrayList<>(); // to where it was; one goes as it is closed
 
@@ -77,6 +78,7 @@
     public void counted(long name, Outcome outcome, double total, long tookUs) {
         if (outcome == Outcome.OK) {
             stuckUs = STUCK_US;
+            answeredUs = loop.nowUs();
         } else {
             LOG.warning("a call to the counter ended as " + outcome, null);
         }
@@ -100,6 +102,11 @@
         loop.in(STUCK_US / 4, this::check);
     }
 
+    @Override
+    public boolean answeredSince(long us) {
+        return answeredUs > us;
+    }
+
     @Override
     public void released(CounterConnection connection) {
         leaving.remove(connection);
--- a/src/main/java/hopdrum/frontdoor/Discovery.java
+++ b/src/main/java/hopdrum/frontdoor/Discovery.java
@@ -145,7 +145,7 @@
         private final DiscoveryReader reader;
 
         Connection(boolean isWatch) throws IOException {
-            super(Discovery.this.loop, address, MOST_BYTES, budget);
+            super(Discovery.this.loop, address, MOST_BYTES, MOST_BYTES, budget);
             this.isWatch = isWatch;
             this.reader = new DiscoveryReader(line -> line(line, this));
             DiscoveryReader.ask(isWatch, version, address.getAddress().getHostAddress() + ":" + address.getPort(), out);
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Link.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Link.java
@@ -25,16 +25,17 @@
     private boolean ended;
 
     /** An accepted connection. */
-    protected Link(Loop loop, SocketChannel channel, int mostBytes, Ring.Account account) throws IOException {
-        this(loop, channel, mostBytes, account, true);
+    protected Link(Loop loop, SocketChannel channel, int mostIn, int mostOut, Ring.Account account)
+            throws IOException {
+        this(loop, channel, mostIn, mostOut, account, true);
     }
 
     /** A connection to be opened. */
-    protected Link(Loop loop, SocketAddress to, int mostBytes, Ring.Account account) throws IOException {
-        this(loop, opened(to), mostBytes, account, false);
+    protected Link(Loop loop, SocketAddress to, int mostIn, int mostOut, Ring.Account account) throws IOException {
+        this(loop, opened(to), mostIn, mostOut, account, false);
     }
 
-    private Link(Loop loop, SocketChannel channel, int mostBytes, Ring.Account account, boolean accepted)
+    private Link(Loop loop, SocketChannel channel, int mostIn, int mostOut, Ring.Account account, boolean accepted)
             throws IOException {
         this.loop = loop;
         this.channel = channel;
@@ -47,8 +48,8 @@
             channel.close();
             throw e;
         }
-        in = new Ring(mostBytes, account);
-        out = new Ring(mostBytes, account);
+        in = new Ring(mostIn, account);
+        out = new Ring(mostOut, account);
     }
 
     private static SocketChannel opened(SocketAddress to) throws IOException {
--- a/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
@@ -40,7 +40,7 @@
 
     public BackendConnection(Loop loop, Pool pool, long dialTimeOutUs, List<String> reportFields, Budget budget,
                              Owner owner) throws IOException {
-        super(loop, pool.address(), MOST_BYTES, budget);
+        super(loop, pool.address(), HttpReader.MOST_ANSWER_RING, MOST_BYTES, budget);
         this.pool = pool;
         this.owner = owner;
         this.reportFields = reportFields;
--- a/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
@@ -35,6 +35,7 @@
 
     private static final Log LOG = new Log("clients");
     private static final int MOST_BYTES = 128 << 10;
+    private static final long ANSWER_US = 10_000_000;   // to take an answer that may be long
     private static final long LINGER_US = 1_000_000;
     private static final long SILENT_US = 2_000_000;    // a connection that asks nothing may be closed then
     private final Owner owner;
@@ -49,7 +50,7 @@
     private boolean closing;       // the last answer is written or being written
 
     public ClientConnection(Loop loop, SocketChannel channel, Budget budget, Owner owner) throws IOException {
-        super(loop, channel, MOST_BYTES, budget);
+        super(loop, channel, MOST_BYTES, HttpReader.MOST_ANSWER_RING, budget);
         this.owner = owner;
         this.slowUs = budget.slowUs();
         slow = loop.in(SILENT_US, this::saysNothing);
@@ -206,7 +207,7 @@
             flush();
         }
         if (!out.isEmpty() && slow == null) {
-            slow = loop.in(slowUs, this::tooSlow); // guards against clients that do not take their answers
+            slow = loop.in(ANSWER_US, this::tooSlow); // guards against clients that do not take their answers
         }
         if (!last) {
             loop.soon(this::again);
--- a/src/main/java/hopdrum/frontdoor/memory/CounterConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/CounterConnection.java
@@ -17,6 +17,9 @@
     public interface Owner {
         void counted(long name, Outcome outcome, double total, long tookUs);
 
+        /** True if any connection has brought an answer since then. */
+        boolean answeredSince(long us);
+
         void released(CounterConnection connection);
     }
 
@@ -50,7 +53,7 @@
 
     public CounterConnection(Loop loop, SocketAddress to, long timeOutUs, Budget budget, Owner owner)
             throws IOException {
-        super(loop, to, MOST_BYTES, budget);
+        super(loop, to, MOST_BYTES, MOST_BYTES, budget);
         this.owner = owner;
         this.timeOutUs = timeOutUs;
         this.lastHeardUs = loop.nowUs();
@@ -100,6 +103,10 @@
             close();
             return;
         }
+        if (isStuck(timeOutUs) && owner.answeredSince(unanswered.peek().sentUs)) {
+            giveUp(); // guards against one that fell silent alone: the counter answers elsewhere
+            return;
+        }
         while (!awaited.isEmpty() && loop.nowUs() - awaited.peek().sentUs >= timeOutUs) {
             report(awaited.poll(), Outcome.TIMED_OUT, 0);
         }
--- a/src/main/java/hopdrum/frontdoor/wire/HttpReader.java
+++ b/src/main/java/hopdrum/frontdoor/wire/HttpReader.java
@@ -11,6 +11,8 @@
 
     public static final int MOST_HEAD = 8 << 10;
     public static final int MOST_BODY = 64 << 10;
+    public static final int MOST_ANSWER = 1 << 20;      // of a backend: some are longer than any RPC
+    public static final int MOST_ANSWER_RING = 2 * MOST_ANSWER;
     private static final int MOST_FIELDS = 64;
     private static final byte[] CONTENT_LENGTH = ascii("content-length");
     private static final byte[] TRANSFER_ENCODING = ascii("transfer-encoding");
@@ -111,8 +113,9 @@
     }
 
     private int bounded(int bodyEnd) throws BadMessage {
-        if (bodyEnd - headTo > MOST_BODY) {
-            throw new BadMessage(413, "the body is longer than " + MOST_BODY + " bytes");
+        int most = kind == Kind.REQUEST ? MOST_BODY : MOST_ANSWER;
+        if (bodyEnd - headTo > most) {
+            throw new BadMessage(413, "the body is longer than " + most + " bytes");
         }
         return bodyEnd;
     }
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -139,7 +139,8 @@
             customer.answered(count, total);
         } else {
             boolean answers = outcome == Outcome.UNREADABLE || outcome == Outcome.RESET;
-            if (!answers) paceDown(); // a spoilt answer, or one lost behind it, is no sign of a crowd
+            boolean broke = outcome == Outcome.CONNECT_FAILED && now() - lastAnswerUs < OUTAGE_US;
+            if (!answers && !broke) paceDown(); // a spoilt answer, a connection that broke: no crowd
             silence(count);
             // A call turned away was not added, nor was one that an outage took; a busy counter adds late.
             boolean added = answers || outcome == Outcome.TIMED_OUT && lastAnswerUs >= count.sentUs;
--- a/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
@@ -466,6 +466,33 @@
         loop.ask(loop::stop);
     }
 
+    @Test
+    void aConnectionToTheCounterThatFallsSilentAloneIsReplacedWithItsFirstTimeOut() throws Exception {
+        loop = new Loop();
+        BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+        Counter calls = new Counter(loop, new InetSocketAddress("127.0.0.1", counter.listener.getLocalPort()), 50_000,
+                new Budget(1024, 1 << 20, 50_000), (name, outcome, total, tookUs) -> ends.add(name + " " + outcome));
+        thread(loop::run);
+        counter.answer = request -> request.contains("/1?") ? HANGS : ok("1");
+        loop.ask(() -> calls.add(1, 1, 1000));
+        loop.ask(() -> loop.in(10_000, () -> calls.add(2, 1, 1000))); // on the other connection
+        assertThat(ends.poll(10, TimeUnit.SECONDS)).isEqualTo("2 OK");
+        assertThat(ends.poll(10, TimeUnit.SECONDS)).as("no time-out of the counter's").isEqualTo("1 RESET");
+        assertThat(counter.ends.poll(10, TimeUnit.SECONDS)).isEqualTo(1);
+        loop.ask(loop::stop);
+    }
+
+    @Test
+    void anAnswerLongerThanAnyRpcComesBackWhole() throws Exception {
+        String body = "0123456789abcdef".repeat(40_000);
+        backend.answer = request -> ok(body);
+        start();
+        Client client = new Client().send(rpc("t1", "order", ""));
+        assertThat(client.hears().endsWith(body)).isTrue();
+        backend.answer = request -> ok("short");
+        assertThat(client.send(rpc("t2", "order", "")).hears()).endsWith("short");
+    }
+
     @Test
     void aClientThatLeavesTakesItsCallOutAlong() throws Exception {
         backend.answer = request -> HANGS;
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -196,6 +196,22 @@
         }
     }
 
+    @Test
+    void aConnectionThatBreaksWhileTheCounterAnswersIsNoCrowd() {
+        door.start(2);
+        for (int i = 0; i < 20; i++) {
+            door.takeCounted(2);
+            door.policy.take(100 + i, 0, 100 + i, 0, 1, 0, 2, 7_500_000);
+            door.policy.counted(door.lastName(), Outcome.CONNECT_FAILED, 0, 1_000);
+            door.pass(10_000);
+        }
+        door.asked.clear();
+        for (int i = 0; i < 20; i++) {
+            door.policy.take(200 + i, 0, 200 + i, 0, 1, 0, 2, 7_500_000);
+        }
+        assertThat(door.heard("add")).hasSize(20);
+    }
+
     @Test
     void whatABucketLetInWhileCallsArePacedIsAddedByItsOwnCustomersNextCall() {
         door.gateways = 3;
