--- a/src/main/java/hopdrum/frontdoor/Discovery.java
+++ b/src/main/java/hopdrum/frontdoor/Discovery.java
@@ -15,8 +15,8 @@
 final class Discovery {
     private static final Log LOG = new Log("discovery");
     private static final int MOST_BYTES = 64 << 10;
-    private static final long SILENT_US = 7_000_000;    // an empty line comes every 2 s
-    private static final long AGAIN_US = 500_000;
+    private static final long SILENT_US = 3_000_000;    // an empty line comes every 2 s: guards against a silent connection
+    private static final long AGAIN_US = 250_000;
     private static final long NO_LIST_US = 1_000_000;   // a list that is asked for comes at once
 
     /** Who is told of the list. */
--- a/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
@@ -581,6 +581,14 @@
         assertThat(ask(rpc("t2", "checkout", ""))).endsWith("second");
     }
 
+    @Test
+    void aWatchThatFallsSilentIsOpenedAnewBeforeItsNewsIsDue() throws Exception {
+        start();
+        assertThat(discovery.asked()).contains("watch=1");
+        discovery.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+        assertThat(discovery.requests.poll(4_500, TimeUnit.MILLISECONDS)).contains("watch=1");
+    }
+
     @Test
     void anIdleClientMakesRoomForANewOne() throws Exception {
         sockets = 32 + 9; // six of them for clients
