An RPC pushed back for lateness names a time to come back, where settings allow it

Seen on rereading: Policy.pump() gave RPCs that cannot meet their soft deadline any more back with no time (finish(rpc, 0)), while the operators ask for one. Now it is after the method's usual time, and clients of one customer are spread as those beyond quota are.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -231,7 +231,7 @@
             Rpc rpc = line.peek();
             if (rpc.callOuts.isEmpty() && rpc.isTooLate()) {
                 line.poll();
-                finish(rpc, 0); // it cannot meet its soft deadline any more: back while that is harmless
+                finish(rpc, rpc.customer.returnIn(rpc.row.usualUs(), rpc.units)); // too late
                 continue;
             }
             Backend backend = placesTaken() >= Math.round(places) ? null : pick(rpc);
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -117,6 +117,7 @@
         door.pass(1_990_000);
         int pushedBack = door.heard("push back").size();
         assertThat(pushedBack).isGreaterThan(4);
+        assertThat(door.heard("push back").get(0)).as("says when to come back").doesNotEndWith(" for 0");
         assertThat(door.heard("call-out").size() + pushedBack).isGreaterThanOrEqualTo(8);
         door.asked.clear();
         door.takeInQuota();
