A front door takes no client before discovery's first word: the drain rule after a kill

The RPCs are read in the loop's first turn, discovery's answer in its second, 51 ms later on 0.3 of a core, and the agent had held the drain for longer than 0.5 s. Ruled out: lists lost or late (the agent's first answer holds them all), the old watch. At fault: FrontDoor's constructor, which listened and accepted at once. Now the listening socket is bound, so nobody is refused, and accepts with discovery's first message, or after 0.5 s when discovery is down. Tests: a client that writes before discovery has spoken; a start while it is silent.

--- a/src/main/java/hopdrum/frontdoor/Clients.java
+++ b/src/main/java/hopdrum/frontdoor/Clients.java
@@ -38,7 +38,7 @@
     private final Budget budget;
     private final Owner owner;
     private final ServerSocketChannel listener;
-    private final SelectionKey key;
+    private SelectionKey key;       // null until open()
     private final Set<ClientConnection> open = new LinkedHashSet<>();  // one goes as it is closed
     private final Set<ClientConnection> silent = new LinkedHashSet<>();    // have not said anything yet; the same
     private final Set<ClientConnection> lingering = new LinkedHashSet<>(); // have their last answer; the same
@@ -55,13 +55,19 @@
             listener.configureBlocking(false);
             listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             listener.bind(listen, BACKLOG);
-            key = listener.register(loop.selector(), SelectionKey.OP_ACCEPT, this);
         } catch (IOException | RuntimeException e) {
             listener.close();
             throw e;
         }
     }
 
+    /** From now on what has connected is accepted; until then it waits in the listening socket's queue. */
+    void open() throws IOException {
+        if (key == null && listener.isOpen()) {
+            key = listener.register(loop.selector(), SelectionKey.OP_ACCEPT, this);
+        }
+    }
+
     SocketAddress address() throws IOException {
         return listener.getLocalAddress();
     }
@@ -138,7 +144,7 @@
 
     private void pause(String why) {
         LOG.warning("accepting pauses", why);
-        if (!paused && key.isValid()) {
+        if (!paused && key != null && key.isValid()) {
             paused = true;
             key.interestOps(0); // guards against a loop that spins on a connection that it cannot take
             loop.in(PAUSE_US, this::resume);
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -20,6 +20,7 @@
 import hopdrum.host.Outcome;
 import hopdrum.policy.Policy;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.SocketAddress;
 import java.util.List;
 import java.util.Map;
@@ -34,6 +35,7 @@
     private static final float[] NO_REPORT = {};
     private static final long ACCEPT_ON_US = 500_000;
     private static final long SLOW_US = 2_500_000;
+    private static final long NO_LIST_US = 500_000;     // discovery's first word comes at once, unless it is down
     private static final long CHECK_US = 250_000;
     private static final long TALLY_US = 10_000_000;
 
@@ -80,6 +82,7 @@
         discovery = new Discovery(loop, config.discovery(), version, budget, this);
         discovery.start();
         clients = new Clients(loop, config.listen(), budget, this);
+        loop.in(NO_LIST_US, this::openClients);
         loop.in(CHECK_US, this::check);
         loop.in(TALLY_US, this::tell);
     }
@@ -105,6 +108,18 @@
         }
     }
 
+    /**
+     * Guards the drain rule after a start: the known list may be old, and clients who come while the process starts are
+     * there before discovery's answer. They wait for it, or for the time after which discovery is down.
+     */
+    private void openClients() {
+        try {
+            clients.open();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private void check() {
         if (config.idleUs() > 0) {
             for (Pool pool : directory.pools()) {
@@ -253,6 +268,7 @@
         if (whole || !listed.isEmpty()) {
             policy.listed(whole ? Listed.Form.WHOLE : Listed.Form.CHANGES, listed);
         }
+        openClients();
     }
 
     // ---- What Policy asks ----
--- a/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
@@ -47,10 +47,11 @@
              "DialTimeoutUs":250000,"ConnIdleUs":400000},"Report":{"Fields":["depth"]},
              "Rules":{"ColdFrom":0.2,"WarmAfterUs":1000000,"OverloadFactor":2,"FallUs":1000000}}""";
     private static final String HANGS = "";
+    private static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private final List<AutoCloseable> open = new ArrayList<>();
     private final StandIn backend = new StandIn(request -> ok("for " + field(request, "X-Trace-Id")));
     private final StandIn counter = new StandIn(request -> ok("1"));
-    private final StandIn discovery = new StandIn(request -> HANGS);
+    private final StandIn discovery = new StandIn(request -> WATCH + chunk("{\"seq\":41,\"whole\":false,\"hosts\":[]}\n"));
     private int sockets = 1024;
     private Loop loop;
     private FrontDoor door;
@@ -165,6 +166,10 @@
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
     private static String rpc(String trace, String method, String more) {
         return "POST /api HTTP/1.1\r\nX-Trace-Id: " + trace + "\r\nX-Qos: " + method + "\r\nPlan: team\r\nCookie: key=0000000000000007\r\n"
                 + "X-Expires-In-Ms: 4000\r\nIdempotency-Key: k\r\nQuota-Info: units=1,spread=1,first=0\r\n" + more + "\r\n";
@@ -371,6 +376,7 @@
                 return true;
             }
         });
+        clients.open();
         thread(loop::run);
         try (Socket slow = new Socket()) {
             slow.connect(clients.address());
@@ -573,7 +579,7 @@
         String whole = "{\"seq\":43,\"whole\":true,\"hosts\":[" + host("b", backend.address(), "terminating") + ","
                 + host("c", second.address(), "in_service") + "]}";
         discovery.answer = request -> ok(whole);
-        discovery.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(broken.length()) + "\r\n" + broken + "\r\n");
+        discovery.say(chunk(broken));
         assertThat(discovery.asked()).startsWith("GET /registry/instances HTTP/1.1");
         while (!ask(rpc("t1", "checkout", "")).endsWith("second")) {
             assertThat(second.requests).isEmpty(); // the list is still on its way
@@ -581,11 +587,35 @@
         assertThat(ask(rpc("t2", "checkout", ""))).endsWith("second");
     }
 
+    @Test
+    void whoComesBeforeDiscoveryHasSpokenWaitsForItSinceTheKnownListMayBeOld() throws Exception {
+        StandIn second = new StandIn(request -> ok("second"));
+        CompletableFuture<Void> spoken = new CompletableFuture<>();
+        String list = "{\"seq\":43,\"whole\":false,\"hosts\":[" + host("b", backend.address(), "terminating") + ","
+                + host("c", second.address(), "in_service") + "]}\n";
+        discovery.answer = request -> {
+            spoken.join();
+            return WATCH + chunk(list);
+        };
+        start();
+        Client early = new Client().send(rpc("t1", "order", ""));
+        loop.ask(() -> loop.in(50_000, () -> spoken.complete(null)));
+        assertThat(early.hears()).endsWith("second");
+        assertThat(backend.requests).isEmpty();
+    }
+
+    @Test
+    void whileDiscoveryIsDownTheKnownListServes() throws Exception {
+        discovery.answer = request -> HANGS;
+        start();
+        assertThat(ask(rpc("t1", "order", ""))).endsWith("for t1");
+    }
+
     @Test
     void aWatchThatFallsSilentIsOpenedAnewBeforeItsNewsIsDue() throws Exception {
         start();
         assertThat(discovery.asked()).contains("watch=1");
-        discovery.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+        discovery.say(chunk("\n"));
         assertThat(discovery.requests.poll(4_500, TimeUnit.MILLISECONDS)).contains("watch=1");
     }
 
