A slice that holds no RPC decides nothing while a call can be made, nor does it start full when told

At fault: Policy.advance(), which tried the bucket first while paced, however small the slice; bucketNow(), which began a slice full in up to 3 of 4 cases for a customer not yet known here though its reader had told it to be beyond. Ruled out: trims of the full store and late answers are calls spent, not units let in. Now a slice below one RPC is asked only when no call can be made, and a told customer's slice starts anywhere below its depth.

Tests: the two stories fail without it.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -198,8 +198,8 @@
                 finish(rpc, customer.returnIn(Math.max(waitUs, 0), rpc.units));
                 return;
             }
-            boolean bucketFirst = now() < slicedUntilUs.getOrDefault(customer.key, NEVER) // told
-                    || isPaced() && allowance < 2 && customer.bucketNow(rpc.units) >= rpc.units;
+            boolean bucketFirst = customer.isSliced() || isPaced() && allowance < 2
+                    && customer.depth(0) >= rpc.units && customer.bucketNow(rpc.units) >= rpc.units;
             // 2. Ask: one call on the customer's count adds the units; its answer comes to answered().
             if (plan.rate() <= 0) {
                 rpc.stage = Stage.LINE;
@@ -416,10 +416,7 @@
     private void slice(long key, long untilUs) {
         slicedUntilUs.merge(key, untilUs, Math::max);
         Customer c = customers.get(key);
-        if (c != null && (c.bucket < 0 || now() - c.bucketAtUs > 5 * SLICED_US)) {
-            c.bucket = random.nextDouble() * c.depth(1); // as if the slice had long been in use
-            c.bucketAtUs = now();
-        }
+        if (c != null && now() - c.bucketAtUs > 5 * SLICED_US) c.bucket = -1; // begun anew, as of a slice in use
     }
 
     private void sweep() {
@@ -590,6 +587,8 @@
             return plan.ceilingRate() > 0 ? Math.max(0, Math.min(plan.burst(), spare)) : plan.burst();
         }
 
+        boolean isSliced() { return now() < slicedUntilUs.getOrDefault(key, NEVER); } // told; its reader has added
+
         double depth(double units) { return Math.max(units, plan.burst() / gateways); }
 
         /** Its share of the rate, and of what the more gateways with less of the traffic leave unused. */
@@ -604,7 +603,8 @@
             if (bucket < 0) { // full as the credit known, or in part of the cases; in fewer the more gateways
                 double sinceStart = plan.rate() * (now() - startedUs) / 1e6 / plan.burst();
                 double full = Math.max(AT_START, sinceStart) * Math.min(1, AT_ONCE * plan.burst() / gateways);
-                bucket = depth * (creditAtUs != NEVER ? Math.max(0, Math.min(1, creditNow() / plan.burst()))
+                bucket = depth * (isSliced() ? random.nextDouble() // as if the slice had long been in use
+                        : creditAtUs != NEVER ? Math.max(0, Math.min(1, creditNow() / plan.burst()))
                         : random.nextDouble() < full ? 1 : 0);
                 bucketAtUs = now();
             }
@@ -629,8 +629,7 @@
             if (bucket >= rpc.units) {
                 bucket -= rpc.units;
                 credit -= rpc.units;
-                boolean told = now() < slicedUntilUs.getOrDefault(key, NEVER); // its reader has added
-                boolean added = counted || told && now() - lastAnswerUs < OUTAGE_US;
+                boolean added = counted || isSliced() && now() - lastAnswerUs < OUTAGE_US;
                 if (!added) owed += rpc.weight = rpc.units;
                 rpc.admit();
             } else {
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -323,6 +323,33 @@
         assertThat(door.heard("call-out").size()).as("a burst of 4 over 2 gateways").isLessThanOrEqualTo(2);
     }
 
+    @Test
+    void customersUnknownHereThatAreToldToBeBeyondGetNoFullSlice() {
+        door.gateways = 100;
+        door.start(3);
+        for (int i = 0; i < 60; i++) {
+            door.policy.heard(ByteBuffer.allocate(12).putLong(500 + i).putInt(2_000_000).array());
+            door.policy.take(i, 0, 500 + i, 0, 1, 0, 100, 7_500_000);
+        }
+        assertThat(door.heard("push back")).as("a slice of 0.04 RPCs cannot be full").hasSize(60);
+    }
+
+    @Test
+    void aSliceThatHoldsNoRpcDecidesNothingWhileThePaceLeavesACall() {
+        door.gateways = 100;
+        door.start(3);
+        door.pass(10_000_000);
+        door.takeCounted(2);
+        door.policy.take(499, 0, 499, 0, 1, 0, 100, 7_500_000);
+        door.policy.counted(door.lastName(), Outcome.FULL, 0, 300); // paced from here on
+        door.asked.clear();
+        for (int i = 0; i < 40; i++) {
+            door.pass(2_000_000);
+            door.policy.take(500 + i, 0, 500 + i, 0, 1, 0, 100, 7_500_000);
+        }
+        assertThat(door.heard("add")).hasSize(40);
+    }
+
     @Test
     void anUnknownCustomersFirstRpcIsMostlyLetInWhileTheCounterIsSilentThoughItsSliceIsSmall() {
         door.gateways = 100;
