What small slices let in is counted by the next calls; who is not told to be beyond is let in

At fault: Customer.decideLocally(), which owes such units to a customer whose next call at this gateway comes in a minute or never; bucketNow(), which holds back customers that nobody has read as beyond as if the counter were silent. Now units let in by slices that hold no RPC are pooled, and a call for any such customer here adds up to two more than its own: over the gateways each count gets what its customer used, in the mean. While the counter answers and messages are allowed, an unknown customer's slice starts as full as after a start, since a reader would have told it to be beyond.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -40,6 +40,7 @@
     private static final double LAZY_EXCESS = 0.25;    // share of the burst left untrimmed, to save calls
     private static final double AT_START = 0.75;       // buckets that a gateway just started takes as full
     private static final double AT_ONCE = 6;           // bursts that all of a customer's gateways may hold so
+    private static final double MOST_WEIGHT = 2;       // RPCs of others that a call stands for, over its own
     private static final long SLICED_US = 2_000_000;   // how long a customer beyond is kept to its slices
     private static final int TOLD_BYTES = 12;          // of a message: the customer, and how long
     private static final double MOST_UNUSED = 0.6;     // of the rate, by even slices where gateways are many
@@ -87,6 +88,7 @@
     private double allowance = 1;               // calls that may be made now
     private long allowanceAtUs;
     private double callRate;                    // calls a second, over the last second or so
+    private double uncounted;                   // let in by slices that hold no RPC, and in no count yet
     private long lastCallUs;
     private long lastLossUs;
     private boolean answeredSinceLoss;
@@ -199,7 +201,7 @@
                 return;
             }
             boolean bucketFirst = customer.isSliced() || isPaced() && allowance < 2
-                    && customer.depth(0) >= rpc.units && customer.bucketNow(rpc.units) >= rpc.units;
+                    && !customer.holdsNone() && customer.bucketNow(rpc.units) >= rpc.units;
             // 2. Ask: one call on the customer's count adds the units; its answer comes to answered().
             if (plan.rate() <= 0) {
                 rpc.stage = Stage.LINE;
@@ -416,7 +418,7 @@
     private void slice(long key, long untilUs) {
         slicedUntilUs.merge(key, untilUs, Math::max);
         Customer c = customers.get(key);
-        if (c != null && now() - c.bucketAtUs > 5 * SLICED_US) c.bucket = -1; // begun anew, as of a slice in use
+        if (c != null && now() - c.bucketAtUs > 5 * SLICED_US) c.bucket = -1; // begun anew, as if in use
     }
 
     private void sweep() {
@@ -487,6 +489,11 @@
         }
 
         void ask(Rpc rpc) {
+            if (holdsNone()) { // of all such customers, whose own next call here may come in a minute
+                double others = Math.min(uncounted, MOST_WEIGHT * rpc.units);
+                uncounted -= others;
+                owed += others;
+            }
             rpc.weight = rpc.units;
             Count count = add((now() + stagger(key)) / EPOCH_US << CUSTOMER_BITS | key, rpc.weight + owed);
             owed = 0;
@@ -587,7 +594,11 @@
             return plan.ceilingRate() > 0 ? Math.max(0, Math.min(plan.burst(), spare)) : plan.burst();
         }
 
-        boolean isSliced() { return now() < slicedUntilUs.getOrDefault(key, NEVER); } // told; its reader has added
+        /** Told to be beyond; its reader has added what its slices let in. */
+        boolean isSliced() { return now() < slicedUntilUs.getOrDefault(key, NEVER); }
+
+        /** Its slices are shares of an RPC: this gateway alone knows next to nothing of the customer. */
+        boolean holdsNone() { return plan.burst() < gateways; }
 
         double depth(double units) { return Math.max(units, plan.burst() / gateways); }
 
@@ -600,9 +611,11 @@
 
         double bucketNow(double units) {
             double depth = depth(units); // one RPC at least: a smaller slice would let in none
-            if (bucket < 0) { // full as the credit known, or in part of the cases; in fewer the more gateways
+            if (bucket < 0) { // full as the credit known, or in part of the cases; fewer where nobody reads
                 double sinceStart = plan.rate() * (now() - startedUs) / 1e6 / plan.burst();
-                double full = Math.max(AT_START, sinceStart) * Math.min(1, AT_ONCE * plan.burst() / gateways);
+                boolean read = settings.mayTell() && now() - lastAnswerUs < OUTAGE_US; // beyond would be told
+                double share = read ? 1 : Math.min(1, AT_ONCE * plan.burst() / gateways);
+                double full = Math.max(AT_START, sinceStart) * share;
                 bucket = depth * (isSliced() ? random.nextDouble() // as if the slice had long been in use
                         : creditAtUs != NEVER ? Math.max(0, Math.min(1, creditNow() / plan.burst()))
                         : random.nextDouble() < full ? 1 : 0);
@@ -629,8 +642,12 @@
             if (bucket >= rpc.units) {
                 bucket -= rpc.units;
                 credit -= rpc.units;
-                boolean added = counted || isSliced() && now() - lastAnswerUs < OUTAGE_US;
-                if (!added) owed += rpc.weight = rpc.units;
+                boolean answering = now() - lastAnswerUs < OUTAGE_US;
+                if (!counted && !isSliced() && answering && holdsNone()) {
+                    uncounted += rpc.units;
+                } else if (!counted && !(isSliced() && answering)) {
+                    owed += rpc.weight = rpc.units;
+                }
                 rpc.admit();
             } else {
                 finish(rpc, returnIn((long) ((rpc.units - bucket) / sliceRate() * 1e6), rpc.units));
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -350,6 +350,41 @@
         assertThat(door.heard("add")).hasSize(40);
     }
 
+    /** A hundred gateways, calls paced, the counter answering, and no call to spare. */
+    private void crowdHundredGateways() {
+        door.gateways = 100;
+        door.start(3);
+        door.pass(1_000_000);
+        door.takeCounted(2);
+        door.policy.take(499, 0, 499, 0, 1, 0, 100, 7_500_000);
+        door.policy.counted(door.lastName(), Outcome.FULL, 0, 300);
+        door.policy.take(498, 0, 498, 0, 1, 0, 100, 7_500_000); // the one call that the pace leaves
+        door.asked.clear();
+    }
+
+    @Test
+    void whoIsNotToldToBeBeyondIsLetInWhereNoCallCanBeMadeAndTheCounterAnswers() {
+        crowdHundredGateways();
+        for (int i = 0; i < 20; i++) {
+            door.policy.take(500 + i, 0, 500 + i, 0, 1, 0, 100, 7_500_000);
+        }
+        assertThat(door.heard("add")).isEmpty();
+        assertThat(door.heard("push back")).as("but for one of four, soon after a start").hasSizeLessThan(10);
+    }
+
+    @Test
+    void whatSlicesThatHoldNoRpcLetInIsAddedByTheNextCallsForCustomersLikeThem() {
+        crowdHundredGateways();
+        for (int i = 0; i < 8; i++) {
+            door.policy.take(500 + i, 0, 500 + i, 0, 1, 0, 100, 7_500_000);
+        }
+        assertThat(door.heard("add")).isEmpty();
+        assertThat(door.heard("push back")).as("some are let in").hasSizeLessThan(7);
+        door.pass(3_000_000);
+        door.policy.take(600, 0, 600, 0, 1, 0, 100, 7_500_000);
+        assertThat(door.heard("add")).containsExactly("add 3.0");
+    }
+
     @Test
     void anUnknownCustomersFirstRpcIsMostlyLetInWhileTheCounterIsSilentThoughItsSliceIsSmall() {
         door.gateways = 100;
