A count is charged nothing ahead for slices that hold no RPC: customers beyond come out again

Now nothing is added ahead where slices are shares of an RPC, and what they do let in goes to the pool.

Story: the reader's calls are its own unit and that unit back; it fails without.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -574,8 +574,9 @@
         /** While paced: its gateways are told, and the count gets what their slices will let in till then. */
         void readBeyond(Count count) {
             double forUs = Math.max(SLICED_US, -credit / plan.rate() * 1e6);
-            double sliced = plan.rate() * forUs / 1e6;
-            double ahead = settings.mayTell() ? Math.max(0, sliced + credit) : sliced / gateways;
+            double sliced = plan.rate() * forUs / 1e6; // but shares of an RPC let in far less, and pool it
+            double ahead = holdsNone() ? 0
+                    : settings.mayTell() ? Math.max(0, sliced + credit) : sliced / gateways;
             add(count.name, ahead - count.rpc.weight);
             for (int i = 0; settings.mayTell() && i < gateways; i++) {
                 int gateway = (first + i) % settings.gateways();
@@ -643,7 +644,7 @@
                 bucket -= rpc.units;
                 credit -= rpc.units;
                 boolean answering = now() - lastAnswerUs < OUTAGE_US;
-                if (!counted && !isSliced() && answering && holdsNone()) {
+                if (!counted && answering && holdsNone()) {
                     uncounted += rpc.units;
                 } else if (!counted && !(isSliced() && answering)) {
                     owed += rpc.weight = rpc.units;
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -385,6 +385,16 @@
         assertThat(door.heard("add")).containsExactly("add 3.0");
     }
 
+    @Test
+    void aReaderAddsNothingAheadForSlicesThatHoldNoRpc() {
+        crowdHundredGateways();
+        door.pass(3_000_000);
+        door.policy.take(600, 0, 600, 0, 1, 0, 100, 7_500_000);
+        door.answer(-0.5);
+        assertThat(door.heard("tell")).as("its other gateways, for 2 s").hasSize(99);
+        assertThat(door.heard("add")).containsExactly("add 1.0", "add -1.0");
+    }
+
     @Test
     void anUnknownCustomersFirstRpcIsMostlyLetInWhileTheCounterIsSilentThoughItsSliceIsSmall() {
         door.gateways = 100;
--- a/src/test/java/hopdrum/policy/FakeHost.java
+++ b/src/test/java/hopdrum/policy/FakeHost.java
@@ -63,7 +63,8 @@
 
     double totalFor(double room) {
         long epochUs = (lastName() >>> 33) * 60_000_000;
-        long sinceUs = clockUs + Long.remainderUnsigned(11 * 0x9E3779B97F4A7C15L, 60_000_000) - epochUs;
+        long customer = lastName() & (1L << 33) - 1;
+        long sinceUs = clockUs + Long.remainderUnsigned(customer * 0x9E3779B97F4A7C15L, 60_000_000) - epochUs;
         return plan.burst() + plan.rate() * sinceUs / 1e6 - room;
     }
 
