The wait for discovery's first word begins with the loop: a restarted fleet keeps the drain rule

At fault: FrontDoor's constructor set the half second on the loop's clock, which stands still from Loop's making until run(), through the warm-up ("warmed up: 123 RPCs in 400 ms") and 90 ms of construction: the time was over in the loop's first turn, before the answer was read. Now the time begins in the loop. The story warms up for half a second before the front door is made and fails without.

--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -82,7 +82,7 @@
         discovery = new Discovery(loop, config.discovery(), version, budget, this);
         discovery.start();
         clients = new Clients(loop, config.listen(), budget, this);
-        loop.in(NO_LIST_US, this::openClients);
+        loop.ask(() -> loop.in(NO_LIST_US, this::openClients)); // from when the loop runs: its clock stands still till then
         loop.in(CHECK_US, this::check);
         loop.in(TALLY_US, this::tell);
     }
--- a/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
@@ -56,6 +56,7 @@
     private Loop loop;
     private FrontDoor door;
     private CompletableFuture<Void> running;
+    private Runnable warmUp = () -> { };
 
     /** Answers each request of each connection; what it was asked can be waited for. */
     private final class StandIn implements AutoCloseable {
@@ -192,6 +193,7 @@
 
     private void start(String hosts) throws IOException {
         loop = new Loop();
+        warmUp.run();
         door = new FrontDoor(Config.parse(config(hosts)), loop);
         running = new CompletableFuture<>();
         thread(() -> {
@@ -604,6 +606,17 @@
         assertThat(backend.requests).isEmpty();
     }
 
+    @Test
+    void theTimeToWaitForDiscoveryBeginsWithTheLoopAndNotBeforeALongWarmUp() throws Exception {
+        long startNanos = System.nanoTime();
+        warmUp = () -> {
+            while (System.nanoTime() - startNanos < 500_000_000L) {
+                Warmup.run(Config.parse(config(host("b", backend.address(), "in_service"))));
+            }
+        };
+        whoComesBeforeDiscoveryHasSpokenWaitsForItSinceTheKnownListMayBeOld();
+    }
+
     @Test
     void whileDiscoveryIsDownTheKnownListServes() throws Exception {
         discovery.answer = request -> HANGS;
