--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -575,7 +575,8 @@
         void readBeyond(Count count) {
             double forUs = Math.max(SLICED_US, -credit / plan.rate() * 1e6);
             double sliced = plan.rate() * forUs / 1e6; // but shares of an RPC let in far less, and pool it
-            double ahead = !settings.mayTell() ? sliced / gateways : holdsNone() ? 0 : Math.max(0, sliced + credit);
+            double ahead = !settings.mayTell() ? sliced / gateways
+                    : holdsNone() ? 0 : Math.max(0, sliced + credit);
             add(count.name, ahead - count.rpc.weight);
             for (int i = 0; settings.mayTell() && i < gateways; i++) {
                 int gateway = (first + i) % settings.gateways();
