A customer at the end of its quota is told as credit to its gateways; no slices while the counter answers

Policy.readBeyond() kept a customer to its slices at 7 to 14 gateways for 2 s at least and charged its count ahead for what slices might let in; a store of 0.9/s and burst 4 is half full again in that time, and slices of a tenth let in nothing of it. Harmless with few gateways. Ruled out: places and lines (line-late 0), ejections (0), calls lost (0.5 of 100). Change: readBeyond(), slice(), isSliced() go. The message has another length, so mixed versions do not misread it.

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -41,8 +41,8 @@
     private static final double AT_START = 0.75;       // buckets that a gateway just started takes as full
     private static final double AT_ONCE = 6;           // bursts that all of a customer's gateways may hold so
     private static final double MOST_WEIGHT = 2;       // RPCs of others that a call stands for, over its own
-    private static final long SLICED_US = 2_000_000;   // how long a customer beyond is kept to its slices
-    private static final int TOLD_BYTES = 12;          // of a message: the customer, and how long
+    private static final long TOLD_US = 2_000_000;     // how long a reading of a customer not seen here is kept
+    private static final int TOLD_BYTES = 9;           // of a message: the customer in 5, its credit in 4
     private static final double MOST_UNUSED = 0.6;     // of the rate, by even slices where gateways are many
     // The line and the places.
     private static final double FIRST_PLACES = 6;      // at a backend, of all gateways together
@@ -69,7 +69,7 @@
     private final Row[] rows;
     private final Map<Long, Backend> backends = new LinkedHashMap<>();   // emptied by list news
     private final Map<Long, Customer> customers = new LinkedHashMap<>(); // emptied by sweep() when idle
-    private final Map<Long, Long> slicedUntilUs = new LinkedHashMap<>();  // by customer; emptied by sweep()
+    private final Map<Long, Told> told = new LinkedHashMap<>();          // by customer; emptied by sweep()
     private final PriorityQueue<Rpc> line = new PriorityQueue<>(         // emptied by pump() and finish()
             Comparator.comparingLong((Rpc r) -> r.startByUs).thenComparingLong(r -> r.order));
     private final PriorityQueue<Timer> timers = new PriorityQueue<>(     // emptied as they come due
@@ -112,6 +112,8 @@
                     long leftUs) {
         Customer c = customers.computeIfAbsent(customer,
                 k -> new Customer(k, settings.plans().get(plan), first, gateways));
+        Told reading = told.remove(customer);
+        if (reading != null) c.heard(reading);
         Rpc rpc = new Rpc(id, rows[method], c, units, leftUs);
         at(rpc.giveUpAtUs, () -> outOfTime(rpc));
         advance(rpc);
@@ -153,11 +155,19 @@
         arm();
     }
 
-    /** Another gateway has read a customer beyond its quota: until then it is kept to its slices here too. */
+    /** Another gateway has read a customer's count and found no room for one more RPC. */
     public void heard(byte[] message) {
         if (message.length != TOLD_BYTES) return; // not of this kind
         ByteBuffer said = ByteBuffer.wrap(message);
-        slice(said.getLong(), now() + said.getInt());
+        long key = (said.get() & 0xFFL) << 32 | said.getInt() & 0xFFFFFFFFL;
+        float credit = said.getFloat();
+        if (!Float.isFinite(credit) || credit >= 1) return; // nothing that a gateway tells
+        Customer customer = customers.get(key);
+        if (customer == null) {
+            told.put(key, new Told(credit, now()));
+        } else {
+            customer.heard(new Told(credit, now()));
+        }
     }
 
     public void listed(Listed.Form form, List<Listed> entries) {
@@ -195,12 +205,12 @@
                 finish(rpc, 0); // a client's repeat whose soft deadline has passed takes no units
                 return;
             }
-            long waitUs = customer.beyondUntilUs - now();
-            if (customer.openIsFull() || waitUs > 0 && plan.rate() > 0) {
-                finish(rpc, customer.returnIn(Math.max(waitUs, 0), rpc.units));
+            long waitUs = customer.beyondForUs(rpc.units);
+            if (customer.openIsFull() || waitUs > 0) {
+                finish(rpc, customer.returnIn(waitUs, rpc.units));
                 return;
             }
-            boolean bucketFirst = customer.isSliced() || isPaced() && allowance < 2
+            boolean bucketFirst = isPaced() && allowance < 2
                     && !customer.holdsNone() && customer.bucketNow(rpc.units) >= rpc.units;
             // 2. Ask: one call on the customer's count adds the units; its answer comes to answered().
             if (plan.rate() <= 0) {
@@ -410,19 +420,8 @@
         while (!count.customer.waiting.isEmpty()) count.customer.decideLocally(count.customer.waiting.poll());
     }
 
-    /**
-     * Guards the counter against customers beyond their quota at many gateways: while calls are paced, one
-     * reading serves all. The customer's gateways keep it to their slices, which together are its rate, and
-     * the reader has added what they will let in.
-     */
-    private void slice(long key, long untilUs) {
-        slicedUntilUs.merge(key, untilUs, Math::max);
-        Customer c = customers.get(key);
-        if (c != null && now() - c.bucketAtUs > 5 * SLICED_US) c.bucket = -1; // begun anew, as if in use
-    }
-
     private void sweep() {
-        slicedUntilUs.values().removeIf(untilUs -> now() > untilUs + SLICED_US);
+        told.values().removeIf(t -> now() > t.atUs + TOLD_US);
         customers.values().removeIf(Customer::isIdle);
         at(now() + SWEEP_US, this::sweep);
     }
@@ -437,7 +436,6 @@
         final Deque<Rpc> waiting = new ArrayDeque<>(1);    // emptied when a pending call is settled
         double credit = -1;         // as last read, less what was let in since
         long creditAtUs = NEVER;
-        long beyondUntilUs = NEVER;
         double owed;                // let in, but not in the count yet
         double bucket = -1;         // the split leaky bucket; below 0: none
         long bucketAtUs;
@@ -477,6 +475,20 @@
             return asked > 0 && asked + rpc.units > creditNow();
         }
 
+        /** What was read bounds what its store can hold now: until the refill has made room, no call is needed. */
+        long beyondForUs(double units) {
+            if (creditAtUs == NEVER || plan.rate() <= 0) return 0;
+            return Math.max(0, (long) ((units - creditNow()) / plan.rate() * 1e6));
+        }
+
+        /** Harm from a false word: it cannot keep a customer out for longer than two bursts take to refill. */
+        void heard(Told reading) {
+            double atMost = Math.max(reading.credit, -plan.burst());
+            if (creditAtUs != NEVER && creditNow() <= atMost) return;
+            credit = atMost;
+            creditAtUs = reading.atUs;
+        }
+
         /** Names a time to come back: clients that are pushed back return as the refill could serve them. */
         long returnIn(long waitUs, double units) {
             long soonestUs = Math.max(now() + waitUs, nextReturnUs);
@@ -551,17 +563,13 @@
                 know(room + (rpc.admitted ? 0 : rpc.weight));
             } else if (room >= 0) {
                 know(room);
+                tellOthers();
                 rpc.admit();
             } else {
-                long waitUs = (long) (-room / plan.rate() * 1e6);
                 know(room + rpc.weight);
-                if (isPaced()) {
-                    readBeyond(count);
-                } else {
-                    add(count.name, -rpc.weight);
-                    beyondUntilUs = now() + waitUs;
-                }
-                finish(rpc, returnIn(waitUs, rpc.units));
+                add(count.name, -rpc.weight);
+                tellOthers();
+                finish(rpc, returnIn(beyondForUs(rpc.units), rpc.units));
             }
             while (!waiting.isEmpty() && !awaitsVerdict(waiting.peek())) advance(waiting.poll());
         }
@@ -571,21 +579,19 @@
             creditAtUs = now();
         }
 
-        /** While paced: its gateways are told, and the count gets what their slices will let in till then. */
-        void readBeyond(Count count) {
-            double forUs = Math.max(SLICED_US, -credit / plan.rate() * 1e6);
-            double sliced = plan.rate() * forUs / 1e6; // but shares of an RPC let in far less, and pool it
-            double ahead = !settings.mayTell() ? sliced / gateways
-                    : holdsNone() ? 0 : Math.max(0, sliced + credit);
-            add(count.name, ahead - count.rpc.weight);
-            for (int i = 0; settings.mayTell() && i < gateways; i++) {
+        /**
+         * Guards the counter, while it is crowded, against customers at the end of their quota: one reading that
+         * leaves no room for an RPC serves all of the customer's gateways.
+         */
+        void tellOthers() {
+            if (!isPaced() || !settings.mayTell() || credit >= 1) return;
+            for (int i = 0; i < gateways; i++) {
                 int gateway = (first + i) % settings.gateways();
                 if (gateway != settings.ordinal()) {
-                    ByteBuffer told = ByteBuffer.allocate(TOLD_BYTES).putLong(key).putInt((int) forUs);
-                    host.tell(gateway, told.array());
+                    ByteBuffer message = ByteBuffer.allocate(TOLD_BYTES).put((byte) (key >> 32));
+                    host.tell(gateway, message.putInt((int) key).putFloat((float) credit).array());
                 }
             }
-            slice(key, now() + (long) forUs);
         }
 
         /** What the store holds by this gateway's memory; a ceiling may not be staked on an unknown past. */
@@ -595,9 +601,6 @@
             return plan.ceilingRate() > 0 ? Math.max(0, Math.min(plan.burst(), spare)) : plan.burst();
         }
 
-        /** Told to be beyond; its reader has added what its slices let in. */
-        boolean isSliced() { return now() < slicedUntilUs.getOrDefault(key, NEVER); }
-
         /** Its slices are shares of an RPC: this gateway alone knows next to nothing of the customer. */
         boolean holdsNone() { return plan.burst() < gateways; }
 
@@ -617,8 +620,7 @@
                 boolean read = settings.mayTell() && now() - lastAnswerUs < OUTAGE_US; // beyond would be told
                 double share = read ? 1 : Math.min(1, AT_ONCE * plan.burst() / gateways);
                 double full = Math.max(AT_START, sinceStart) * share;
-                bucket = depth * (isSliced() ? random.nextDouble() // as if the slice had long been in use
-                        : creditAtUs != NEVER ? Math.max(0, Math.min(1, creditNow() / plan.burst()))
+                bucket = depth * (creditAtUs != NEVER ? Math.max(0, Math.min(1, creditNow() / plan.burst()))
                         : random.nextDouble() < full ? 1 : 0);
                 bucketAtUs = now();
             }
@@ -646,7 +648,7 @@
                 boolean answering = now() - lastAnswerUs < OUTAGE_US;
                 if (!counted && answering && holdsNone()) {
                     uncounted += rpc.units;
-                } else if (!counted && !(isSliced() && answering)) {
+                } else if (!counted) {
                     owed += rpc.weight = rpc.units;
                 }
                 rpc.admit();
@@ -656,6 +658,10 @@
         }
     }
 
+    /** What another gateway has read of a customer. */
+    private record Told(double credit, long atUs) {
+    }
+
     /** One call on the counter. */
     private static final class Count {
         Customer customer;
