A configuration replaced while a front door starts is read once discovery is gone: drains kept

In their logs front doors restarted at 12.10 s had read the old address (8500) and got SIGHUP as soon as they were ready (0.93 to 1.0 s after the start): the file is replaced and the old address refuses before SIGHUP may be sent. A front door whose first connection falls in that window hears nothing, takes its clients after 0.5 s by the known list (12.83 + 0.5 = 13.33 s) and sends what had piled up to drained backends. At fault: Server.Reload, which read the file for SIGHUP only. Change: when discovery refuses, ends or does not answer, and the file's time is not that of the one read, it is read anew.

--- a/src/main/java/hopdrum/frontdoor/Discovery.java
+++ b/src/main/java/hopdrum/frontdoor/Discovery.java
@@ -23,6 +23,9 @@
     interface Owner {
         /** Throws IllegalArgumentException where the message cannot be understood. */
         void told(Map<?, ?> message, boolean whole);
+
+        /** Discovery has refused or ended the watch, or does not answer. */
+        void lost();
     }
 
     private final Loop loop;
@@ -75,6 +78,7 @@
         if (watch != null && loop.nowUs() - lastHeardUs > (wholeNeeded ? NO_LIST_US : SILENT_US)) {
             LOG.warning("the watch is silent and opened anew", null);
             watch.close();
+            owner.lost();
         }
         if (watch == null) {
             lastHeardUs = loop.nowUs();
@@ -90,6 +94,7 @@
             return new Connection(isWatch);
         } catch (IOException e) {
             LOG.warning("no connection to discovery", e.getMessage());
+            owner.lost();
             return null;
         }
     }
@@ -171,6 +176,7 @@
         protected void ended() {
             if (isWatch) {
                 LOG.info("the watch has ended and is opened anew", null);
+                owner.lost();
             }
         }
 
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -53,6 +53,7 @@
     private final Tally tally = new Tally();
     private Loop.Timer wake;
     private boolean listKnown;
+    private Runnable lost = () -> { };
 
     /** What happened since the last line that said so. */
     private static final class Tally {
@@ -140,6 +141,11 @@
         loop.in(TALLY_US, this::tell);
     }
 
+    /** Who looks where discovery is now, once it has refused or ended the watch. */
+    public void onLost(Runnable what) {
+        lost = what;
+    }
+
     /** SIGHUP: discovery and the counter are followed to where they are now; the rest takes a new start. */
     public void follow(Config fresh) {
         LOG.info("a new configuration", "discovery " + fresh.discovery() + ", counter " + fresh.counter());
@@ -271,6 +277,11 @@
         openClients();
     }
 
+    @Override
+    public void lost() {
+        lost.run();
+    }
+
     // ---- What Policy asks ----
 
     @Override
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
@@ -1,6 +1,7 @@
 package hopdrum.frontdoor.lifecycle;
 
 import hopdrum.frontdoor.FrontDoor;
+import java.io.File;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.InvalidPathException;
@@ -49,17 +50,37 @@
      * that nothing handles; one that comes early waits in the loop. A file that cannot be used changes nothing.
      */
     public static final class Reload {
-        private FrontDoor door; // known before the loop runs
+        private final Path file;
+        private final Loop loop;
+        private long writtenMs;   // when the file that was read last had been written
+        private FrontDoor door;   // known before the loop runs
 
-        public Reload(Path file, Loop loop) {
-            sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> loop.ask(() -> read(file)));
+        /** The time is looked at before the file is read: one replaced meanwhile is read again, not missed. */
+        public Reload(Path file, Loop loop, long writtenMs) {
+            this.file = file;
+            this.loop = loop;
+            this.writtenMs = writtenMs;
+            sun.misc.Signal.handle(new sun.misc.Signal("HUP"), signal -> loop.ask(this::read));
         }
 
         public void follows(FrontDoor of) {
             door = of;
+            of.onLost(() -> loop.ask(this::readIfReplaced));
         }
 
-        private void read(Path file) {
+        /**
+         * Guards the drain rule after a start: the file may be replaced once it is read and before SIGHUP can be
+         * sent; discovery is then elsewhere, and nobody tells of backends that drain.
+         */
+        private void readIfReplaced() {
+            if (file.toFile().lastModified() != writtenMs) {
+                LOG.info("discovery has left and the configuration was replaced: read anew", null);
+                read();
+            }
+        }
+
+        private void read() {
+            writtenMs = file.toFile().lastModified();
             try {
                 door.follow(Config.read(file));
             } catch (IllegalArgumentException e) {
@@ -74,13 +95,14 @@
 
     /** The exit code is the process's. */
     private static int run(String configFile, String command, WhenUp whenUp) {
+        long writtenMs = configFile == null ? 0 : new File(configFile).lastModified();
         Config config = config(configFile, command);
         if (config == null) {
             return 1;
         }
         try {
             Loop loop = new Loop();
-            Reload reload = new Reload(Path.of(configFile), loop);
+            Reload reload = new Reload(Path.of(configFile), loop, writtenMs);
             Warmup.run(config);
             FrontDoor door = new FrontDoor(config, loop);
             reload.follows(door);
