The pace of calls rises by the counter's time above its least, not by its whole time

At fault: paceUp(), where only an answer within a sixth of the counter's limit (8.3 ms) raises the pace; there each takes 14 to 37 ms, most of it on its way and waiting for a turn of the loop. So LEAST_PACE stays for good. Ruled out: loss (0 to 7%), the allowance (calls few, RPCs many). Change: an answer is quick if it took less than a sixth of the limit above the least of late, as in TCP Vegas. The story fails without it (8 calls in the last second, more than 30 with it).

--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -34,6 +34,7 @@
     private static final long LEAST_TIME_OUT_US = 5_000;
     private static final double LEAST_PACE = 60;       // calls a second, by all gateways, to a dead counter
     private static final double PACE_DROP = 0.85;      // for a call lost
+    private static final double LEAST_FORGETS = 1.002; // an answer: half as much again in some 200 of them
     private static final double PACE_GAIN = 0.03;      // for a call answered, times the seconds without loss
     private static final long OUTAGE_US = 1_000_000;   // of silence: what was spent before is refilled
     private static final long LEAST_KEPT_US = 5_000_000;
@@ -81,6 +82,7 @@
     private double places;                      // what this gateway may have out
     // The counter as a whole: its answers' time and its silence.
     private double answerUs = LEAST_TIME_OUT_US / 4.0;
+    private double leastAnswerUs = Double.MAX_VALUE; // of late: on its way, where nothing waits there
     private double answerDevUs = LEAST_TIME_OUT_US / 4.0;
     private long lastAnswerUs = NEVER;
     private double pace = Double.MAX_VALUE;     // calls a second that the counter is asked for at most
@@ -137,6 +139,7 @@
             count.settled = true;
             if (now() - lastAnswerUs > OUTAGE_US) customers.values().forEach(Customer::forgetRefilled);
             lastAnswerUs = now();
+            leastAnswerUs = Math.min(tookUs, leastAnswerUs * LEAST_FORGETS);
             paceUp(tookUs);
             answerDevUs += (Math.abs(tookUs - answerUs) - answerDevUs) / 4;
             answerUs += (tookUs - answerUs) / 8;
@@ -395,7 +398,7 @@
         double sinceLossS = (now() - lastLossUs) / 1e6;
         if (pace < knownGoodPace) {
             pace = Math.min(knownGoodPace, pace * 2);
-        } else if (tookUs < settings.countWaitUs() / 6 && allowance < 2) {
+        } else if (tookUs - leastAnswerUs < settings.countWaitUs() / 6.0 && allowance < 2) {
             pace *= 1 + PACE_GAIN * (1 + sinceLossS);
         }
         if (sinceLossS > 5 && pace > 1.5 * callRate()) {
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -265,6 +265,29 @@
                 .as("trimmed to a full burst, less its unit").isBetween(2.9, 3.1);
     }
 
+    @Test
+    void thePaceOfCallsRisesAgainWhereTheWayToTheCounterIsLong() {
+        door.gateways = 8;
+        door.start(3);
+        for (int i = 0; i < 20; i++) {
+            door.policy.take(i, 0, 500 + i, 0, 1, 0, 8, 7_500_000);
+            door.policy.counted(door.lastName(), Outcome.FULL, 0, 20_000); // paced, to the least pace
+            door.pass(60_000);
+        }
+        for (int second = 0; second < 10; second++) {
+            door.asked.clear();
+            for (int i = 0; i < 100; i++) {
+                int calls = door.names.size();
+                door.policy.take(100 * second + i, 0, 1_000 + 100 * second + i, 0, 1, 0, 8, 7_500_000);
+                if (door.names.size() > calls) {
+                    door.policy.counted(door.lastName(), Outcome.OK, door.totalFor(3), 20_000); // as long as each takes
+                }
+                door.pass(10_000);
+            }
+        }
+        assertThat(door.heard("add").size()).as("asked in the last second, 7 or 8 at first").isGreaterThan(30);
+    }
+
     @Test
     void aRepeatThatNobodyListedMayTakeIsAnsweredAtOnce() {
         door.method = new Method(2_000_000, 7_500_000, Method.Repeat.DEDUPLICATED, Method.Group.CELL, 6_000_000, 0, false);
