--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -35,7 +35,7 @@
     private static final float[] NO_REPORT = {};
     private static final long ACCEPT_ON_US = 500_000;
     private static final long SLOW_US = 2_500_000;
-    private static final long NO_LIST_US = 500_000;     // discovery's first word comes at once, unless it is down
+    private static final long NO_LIST_US = 3_000_000;   // one that serves its callers in turn takes seconds after a release
     private static final long CHECK_US = 250_000;
     private static final long TALLY_US = 10_000_000;
 
@@ -83,7 +83,7 @@
         discovery = new Discovery(loop, config.discovery(), version, budget, this);
         discovery.start();
         clients = new Clients(loop, config.listen(), budget, this);
-        loop.ask(() -> loop.in(NO_LIST_US, this::openClients)); // from when the loop runs: its clock stands still till then
+        loop.ask(() -> loop.in(NO_LIST_US, this::openClients)); // its clock stands still till then
         loop.in(CHECK_US, this::check);
         loop.in(TALLY_US, this::tell);
     }
