--- /dev/null
+++ b/src/main/java/hopdrum/host/Credit.java
@@ -0,0 +1,23 @@
+package hopdrum.host;
+
+import java.nio.ByteBuffer;
+
+/** What a gateway tells others of a customer: the units that its store still holds. 9 bytes: customer 5, credit 4. */
+public record Credit(long customer, double units) {
+    private static final int BYTES = 9;
+
+    public byte[] bytes() {
+        return ByteBuffer.allocate(BYTES).put((byte) (customer >> 32)).putInt((int) customer).putFloat((float) units).array();
+    }
+
+    /** Null for a message that is not of this kind. */
+    public static Credit read(byte[] message) {
+        if (message.length != BYTES) {
+            return null;
+        }
+        ByteBuffer said = ByteBuffer.wrap(message);
+        long customer = (said.get() & 0xFFL) << 32 | said.getInt() & 0xFFFFFFFFL;
+        float units = said.getFloat();
+        return Float.isFinite(units) ? new Credit(customer, units) : null;
+    }
+}
