An indented list from discovery is read as one message; a slow end says what is still open

The list that is asked for comes indented, and DiscoveryReader.lineEnds() handed on each of its lines as a message; only the watch, whose lists came on one line, told the new address's list. Now a message whose braces are open goes on with the next line; one cut short is ended by an empty line, by a line that begins another, or 125 to 375 ms after its last byte, so that the whole list is fetched well inside the clock of 6 s. Discovery's waits looked at: silence is seen 3.0 to 3.25 s after the last word, so the watch is open again 2.7 s inside the clock; a list asked for is given up after 1 s and asked for again by the next look, 0.25 s later; no back-off grows.

--- /dev/null
+++ b/src/main/java/hopdrum/fleet/message/Member.java
@@ -0,0 +1,43 @@
+package hopdrum.fleet.message;
+
+import java.util.regex.Pattern;
+
+/**
+ * One start of one front door.
+ *
+ * @param name its name in the fleet, the same after a restart
+ * @param start a number that grows with each start of this name; tells starts apart
+ * @param voter drawn when its store was made: who it is where views are agreed
+ * @param operator who runs it
+ * @param site where it stands
+ * @param gateway its number in its operator's tier, from 0
+ * @param address where its peers reach it, a numeric address and a port
+ */
+public record Member(String name, long start, long voter, String operator, String site, int gateway, String address) {
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
+    private static final Pattern ADDRESS = Pattern.compile("(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:.]+]):\\d{1,5}");
+    private static final int MOST_GATEWAYS = 100_000;
+
+    public Member {
+        check(isName(name) && isName(operator) && isName(site), "a name");
+        check(start > 0 && voter != 0, "a start");
+        check(gateway >= 0 && gateway < MOST_GATEWAYS, "a gateway's number");
+        check(address != null && ADDRESS.matcher(address).matches(), "an address");
+    }
+
+    /** Letters, digits, dot, dash and underscore, 64 at most. */
+    public static boolean isName(String text) {
+        return text != null && NAME.matcher(text).matches();
+    }
+
+    /** The same start of the same front door. */
+    public boolean is(Member other) {
+        return other != null && start == other.start && voter == other.voter && name.equals(other.name);
+    }
+
+    static void check(boolean holds, String what) {
+        if (!holds) {
+            throw new IllegalArgumentException("a message holds " + what + " that cannot be");
+        }
+    }
+}
--- a/src/main/java/hopdrum/frontdoor/Discovery.java
+++ b/src/main/java/hopdrum/frontdoor/Discovery.java
@@ -75,6 +75,9 @@
     }
 
     private void look() {
+        if (watch != null && loop.nowUs() - watch.readUs > AGAIN_US / 2) {
+            watch.reader.endsOpenMessage(); // cut short: guards against waiting for the next line, 2 s, to see it
+        }
         if (watch != null && loop.nowUs() - lastHeardUs > (wholeNeeded ? NO_LIST_US : SILENT_US)) {
             LOG.warning("the watch is silent and opened anew", null);
             watch.close();
@@ -148,6 +151,7 @@
     private final class Connection extends Link {
         private final boolean isWatch;
         private final DiscoveryReader reader;
+        private long readUs = Discovery.this.loop.nowUs();
 
         Connection(boolean isWatch) throws IOException {
             super(Discovery.this.loop, address, MOST_BYTES, MOST_BYTES, budget);
@@ -162,6 +166,7 @@
 
         @Override
         protected void received() {
+            readUs = Discovery.this.loop.nowUs();
             try {
                 if (reader.read(in)) {
                     close();
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -36,6 +36,7 @@
     private static final long ACCEPT_ON_US = 500_000;
     private static final long SLOW_US = 2_500_000;
     private static final long NO_LIST_US = 3_000_000;   // one that serves its callers in turn takes seconds after a release
+    private static final long SLOW_END_US = 3_500_000;
     private static final long CHECK_US = 250_000;
     private static final long TALLY_US = 10_000_000;
 
@@ -161,6 +162,7 @@
             clients.stopAccepting();
             stopIfEmpty();
         });
+        loop.in(SLOW_END_US, () -> LOG.info("not ended yet", rpcs.size() + " RPCs under way, clients=" + budget.clients()));
     }
 
     private void stopIfEmpty() {
--- a/src/main/java/hopdrum/frontdoor/wire/DiscoveryReader.java
+++ b/src/main/java/hopdrum/frontdoor/wire/DiscoveryReader.java
@@ -6,7 +6,7 @@
 import java.util.Arrays;
 import java.util.function.Consumer;
 
-/** Discovery's answer, a watch or a whole list: bytes to lines of JSON. */
+/** Discovery's answer, a watch or a whole list: bytes to messages, a line of JSON each or one indented over lines. */
 public final class DiscoveryReader {
     private static final int MOST_LINE = 8 << 20;
     private final HttpReader head = new HttpReader(HttpReader.Kind.RESPONSE);
@@ -16,9 +16,13 @@
     private long left;              // of a body with a length; below 0: until the connection ends
     private byte[] line = new byte[1024];
     private int length;
+    private int lineFrom;           // where in it the present line began: an indented message has many
+    private int depth;              // of braces and brackets that are open at this point
+    private boolean inText;
+    private boolean escaped;
     private boolean ended;
 
-    /** A line is handed on without its break; an empty one says that nothing has changed. */
+    /** A message is handed on whole; an empty line says that nothing has changed. */
     public DiscoveryReader(Consumer<String> lines) {
         this.lines = lines;
     }
@@ -53,7 +57,7 @@
             ended = chunks == null ? left == 0 : chunks.ended();
         }
         if (ended && length > 0) {
-            lineEnds();
+            messageEnds(length);
         }
         return ended;
     }
@@ -63,6 +67,21 @@
             lineEnds();
             return;
         }
+        put(b);
+        if (escaped) {
+            escaped = false;
+        } else if (inText && b == '\\') {
+            escaped = true;
+        } else if (b == '"') {
+            inText = !inText;
+        } else if (!inText && (b == '{' || b == '[')) {
+            depth++;
+        } else if (!inText && (b == '}' || b == ']')) {
+            depth--;
+        }
+    }
+
+    private void put(byte b) throws BadMessage {
         if (length == MOST_LINE) {
             throw new BadMessage(413, "a line from discovery is too long");
         }
@@ -72,9 +91,39 @@
         line[length++] = b;
     }
 
-    private void lineEnds() {
-        String text = new String(line, 0, length, StandardCharsets.UTF_8).strip();
+    /**
+     * A message whose braces are still open goes on with the next line. Guards against one that was cut short taking
+     * along those that follow: an empty line, or one that begins a message of its own, ends it as it stands.
+     */
+    private void lineEnds() throws BadMessage {
+        String present = new String(line, lineFrom, length - lineFrom, StandardCharsets.UTF_8).strip();
+        if (lineFrom > 0 && (present.isEmpty() || present.startsWith("{") && present.contains("\"seq\""))) {
+            messageEnds(lineFrom);
+            for (byte b : (present + "\n").getBytes(StandardCharsets.UTF_8)) {
+                data(b);
+            }
+        } else if (depth <= 0 || present.isEmpty()) {
+            messageEnds(length);
+        } else {
+            put((byte) ' ');
+            lineFrom = length;
+        }
+    }
+
+    /** Ends a message of several lines that nothing has been added to for too long: what there is of it is handed on. */
+    public void endsOpenMessage() {
+        if (lineFrom > 0) {
+            messageEnds(length);
+        }
+    }
+
+    private void messageEnds(int at) {
+        String text = new String(line, 0, at, StandardCharsets.UTF_8).strip();
         length = 0;
+        lineFrom = 0;
+        depth = 0;
+        inText = false;
+        escaped = false;
         lines.accept(text);
     }
 }
--- a/src/test/java/hopdrum/frontdoor/wire/WireStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/wire/WireStoryTest.java
@@ -237,6 +237,17 @@
         assertThat(lines).containsExactly("[12]");
     }
 
+    @Test
+    void anIndentedListIsOneMessageAndOneCutShortTakesNoOtherAlong() throws BadMessage {
+        List<String> lines = new ArrayList<>();
+        put(ring, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\n  \"seq\": 1,\n  \"hosts\": [\n    {\"host\": \"}\\\"{\"}\n  ]\n}\n\n"
+                + "{\"seq\":2,\"hosts\":[\n\n{\"seq\":3,\"ho\n{\"seq\":4}\n");
+        new DiscoveryReader(lines::add).read(ring);
+        assertThat(lines).hasSize(6);
+        assertThat(Json.parse(lines.get(0))).isEqualTo(Map.of("seq", 1.0, "hosts", List.of(Map.of("host", "}\"{"))));
+        assertThat(lines.subList(1, 6)).containsExactly("", "{\"seq\":2,\"hosts\":[", "", "{\"seq\":3,\"ho", "{\"seq\":4}");
+    }
+
     @Test
     void jsonIsReadOrItsPlaceNamed() {
         assertThat(Json.parse(" {\"a\":[1,-2.5e1,true,null,\"x\\u0041\\n\"],\"b\":{}} "))
