A fleet's view of itself: reachability, settled views, leases, links and store; off in run

Policy is handed Sharers and splits the fallback buckets by the settled view, within the rate, empty after a start; with no fleet nothing changes there. src/rig has a swarm of members in virtual time that checks three rules at each step.

--- a/src/main/java/hopdrum/Main.java
+++ b/src/main/java/hopdrum/Main.java
@@ -13,6 +13,10 @@
     }
 
     public static void main(String[] args) {
+        if (args.length == 3 && args[0].equals("serve") && args[1].equals("--fleet")) {
+            exitUnlessZero(FleetServer.serve(System.getenv("LB_CONFIG"), args[2]));
+            return;
+        }
         String command = args.length == 1 ? args[0] : "";
         switch (command) {
             case "serve" -> exitUnlessZero(Server.serve(System.getenv("LB_CONFIG")));
@@ -20,6 +24,7 @@
             case "benchlink" -> exitUnlessZero(benchlink());
             default -> {
                 System.err.println("usage: hopdrum serve       (a front door on sockets, as LB_CONFIG describes)\n"
+                        + "       hopdrum serve --fleet FILE   (the same as one of a fleet, as FILE describes)\n"
                         + "       hopdrum train       (start and end among nobody; the build makes its class archive so)\n"
                         + "       hopdrum benchlink   (decide on the bench's wire, standard input to output)");
                 System.exit(2);
--- /dev/null
+++ b/src/main/java/hopdrum/fleet/Fleet.java
@@ -0,0 +1,215 @@
+package hopdrum.fleet;
+
+import hopdrum.fleet.link.Links;
+import hopdrum.fleet.message.Member;
+import hopdrum.fleet.message.Message;
+import hopdrum.fleet.message.Rumour.State;
+import hopdrum.fleet.message.View;
+import hopdrum.fleet.store.Store;
+import hopdrum.fleet.view.Leases;
+import hopdrum.fleet.view.Membership;
+import hopdrum.host.Sharers;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+
+/**
+ * This front door's part in its fleet, from start to end: it owns the links, the store and the thread that keeps time,
+ * and hands out what was settled as one immutable snapshot. Nothing here waits on the front door's loop, nor that on
+ * anything here.
+ */
+public final class Fleet implements AutoCloseable, Supplier<Sharers> {
+    private static final int TICKS_A_PERIOD = 10;
+    private static final long STATUS_US = 10_000_000;
+
+    private final FleetFile file;
+    private final Member self;
+    private final FleetLog log;
+    private final Store store;
+    private final Links links;
+    private final Membership membership; // under this object's lock
+    private final long loopOffsetUs;
+    private final Thread ticker;
+    private volatile Sharers sharers = new Sharers(Long.MIN_VALUE / 2, List.of());
+    private volatile boolean closed;
+    private String claimed = "";
+    private long statusUs;
+
+    private final class Ears implements Links.Owner {
+        @Override
+        public String refuses(Message.Hello hello) {
+            if (!hello.fleet().equals(file.fleet())) {
+                return "another fleet";
+            }
+            if (!file.operators().contains(hello.who().operator())) {
+                return "an unknown operator";
+            }
+            synchronized (Fleet.this) {
+                Member known = membership.reach().known(hello.who().name());
+                boolean sameStart = known != null && known.start() == hello.who().start();
+                return sameStart && !known.equals(hello.who()) ? "the name is another's" : null;
+            }
+        }
+
+        @Override
+        public void heard(Member from, Message message) {
+            synchronized (Fleet.this) {
+                if (!closed) {
+                    membership.heard(from, message, nowUs());
+                    publish();
+                }
+            }
+        }
+
+        @Override
+        public void answered(String address, Member who) {
+            // what is believed of it comes with its answers to pings
+        }
+
+        @Override
+        public void refused(String address, String why) {
+            log.limited("refused_by", address + ": " + why);
+        }
+    }
+
+    private Fleet(FleetFile file, int gateway, long seed, long loopOffsetUs) throws IOException {
+        this.file = file;
+        this.loopOffsetUs = loopOffsetUs;
+        store = new Store(file.store());
+        try {
+            Store.Kept kept = store.read();
+            long start = Math.max(System.currentTimeMillis() * 1000, kept == null ? 0 : kept.lastStart() + 1);
+            SplittableRandom random = new SplittableRandom(seed ^ start); // the seed may be another member's too
+            long voter = kept == null ? random.nextLong() | 1 : kept.voter();
+            self = new Member(file.name(), start, voter, file.operator(), file.site(), gateway, file.advertise());
+            log = new FleetLog(file.log(), self.name(), self.start());
+            log.event("starts", "fleet", file.fleet(), "operator", self.operator(), "site", self.site(), "gateway", gateway,
+                    "address", self.address(), "voter", voter, "kept", kept != null);
+            if (store.damage() != null) {
+                log.event("store_damaged", "why", store.damage());
+            }
+            store.write(kept == null ? new Store.Kept(voter, start, View.NONE, null, null, null)
+                    : new Store.Kept(voter, start, kept.view(), kept.promised(), kept.acceptedIn(), kept.accepted()));
+            int colon = file.listen().lastIndexOf(':');
+            links = new Links(new InetSocketAddress(file.listen().substring(0, colon),
+                    Integer.parseInt(file.listen().substring(colon + 1))), new Message.Hello(Message.VERSION, file.fleet(), self),
+                    random.split(), new Ears(), log);
+            membership = new Membership(self, file.seeds(), file.founders(), kept, file.timing(), random.split(), links::send,
+                    store::write, log::event, nowUs());
+            ticker = new Thread(null, this::keepTime, "fleet-view", 256 << 10);
+            ticker.setDaemon(true);
+        } catch (IOException | RuntimeException e) {
+            store.close();
+            throw e;
+        }
+    }
+
+    /**
+     * Starts the fleet's threads. Throws IOException, with one line, where the store, the log or the address cannot be
+     * used.
+     *
+     * @param gateway this front door's number in its operator's tier
+     * @param loopOffsetUs what the front door's clock is ahead of this machine's monotonic one
+     */
+    public static Fleet start(FleetFile file, int gateway, long seed, long loopOffsetUs) throws IOException {
+        Fleet fleet = new Fleet(file, gateway, seed, loopOffsetUs);
+        fleet.links.start();
+        fleet.ticker.start();
+        return fleet;
+    }
+
+    private static long nowUs() {
+        return System.nanoTime() / 1000;
+    }
+
+    /** What Policy may know of who shares its customers' quotas; never waits. */
+    @Override
+    public Sharers get() {
+        return sharers;
+    }
+
+    private void keepTime() {
+        while (!closed) {
+            try {
+                synchronized (this) {
+                    membership.tick(nowUs());
+                    publish();
+                    status();
+                }
+                links.cutStalled(nowUs());
+            } catch (RuntimeException e) { // a fault in one tick must not end all others
+                log.limited("fault", e + " at " + (e.getStackTrace().length > 0 ? e.getStackTrace()[0] : "?"));
+            }
+            pause(file.timing().periodUs() / TICKS_A_PERIOD / 1000);
+        }
+    }
+
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(Math.max(1, ms));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** A new snapshot, if what may be claimed has changed; what it lets this gateway claim is logged first. */
+    private void publish() {
+        long now = nowUs();
+        Leases leases = membership.council().leases();
+        long until = membership.isOut(now) ? Long.MIN_VALUE / 2 : leases.untilUs(now);
+        List<BitSet> views = new ArrayList<>();
+        int most = 0;
+        for (View view : leases.live(now)) {
+            BitSet gateways = new BitSet();
+            for (Member m : view.members()) {
+                if (m.operator().equals(self.operator())) {
+                    gateways.set(m.gateway());
+                }
+            }
+            most = Math.max(most, gateways.cardinality());
+            views.add(gateways);
+        }
+        String claim = until + "/" + most + "/" + views.size() + "/" + membership.council().view().number();
+        if (!claim.equals(claimed)) {
+            claimed = claim;
+            log.event("claim", "until_us", Math.max(0, until), "of", most, "operator", self.operator());
+            sharers = new Sharers(until + loopOffsetUs, List.copyOf(views));
+        }
+    }
+
+    private void status() {
+        long now = nowUs();
+        if (now - statusUs < STATUS_US) {
+            return;
+        }
+        statusUs = now;
+        View view = membership.council().view();
+        long alive = membership.reach().believed().values().stream().filter(s -> s == State.ALIVE).count();
+        log.event("status", "era", view.era(), "number", view.number(), "in_view", view.has(self), "members", view.members().size(),
+                "alive", alive + 1, "cut_off", membership.council().leases().isCutOff(), "bytes_out", links.bytesOut(),
+                "messages_out", links.messagesOut());
+    }
+
+    /** Good-bye: told to peers at once; nothing is claimed from here on. */
+    public void leave() {
+        synchronized (this) {
+            membership.leave(nowUs());
+            publish();
+        }
+    }
+
+    /** Ends all threads and gives back address and store. */
+    @Override
+    public void close() throws IOException {
+        closed = true;
+        ticker.interrupt();
+        links.close();
+        store.close();
+        log.event("ended");
+        log.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/hopdrum/fleet/store/Store.java
@@ -0,0 +1,124 @@
+package hopdrum.fleet.store;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import hopdrum.fleet.message.Ballot;
+import hopdrum.fleet.message.View;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.zip.CRC32C;
+
+/**
+ * What a member must not forget over a restart: who it is as a voter, the view settled last, and what it has promised
+ * for the next. One checksummed file, written beside, forced and moved into place before any promise is answered.
+ * The folder is locked while the store is open: guards against one voter in two processes.
+ */
+public final class Store implements AutoCloseable {
+    /**
+     * @param view the view settled last
+     * @param promised below this ballot nothing is accepted for the view after it
+     * @param acceptedIn the ballot in which a view was accepted; null if none was
+     */
+    public record Kept(long voter, long lastStart, View view, Ballot promised, Ballot acceptedIn, View accepted) {
+    }
+
+    private static final ObjectMapper MAPPER = new CBORMapper();
+    private static final int HEAD = 12; // "hdf1", length, checksum
+    private static final int MAGIC = 0x68646631;
+    private static final String FILE = "member.cbor";
+    private final Path folder;
+    private final FileChannel lockChannel;
+    private final FileLock lock;
+    private String damage;
+
+    /** Throws IOException, with one line, where the folder cannot be used or is another process's. */
+    public Store(Path folder) throws IOException {
+        this.folder = folder;
+        Files.createDirectories(folder);
+        lockChannel = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        try {
+            lock = lockChannel.tryLock();
+        } catch (OverlappingFileLockException e) {
+            lockChannel.close();
+            throw new IOException("the store " + folder + " is in use here already", e);
+        }
+        if (lock == null) {
+            lockChannel.close();
+            throw new IOException("the store " + folder + " is another process's");
+        }
+    }
+
+    /** Null where nothing was kept, or nothing that can be trusted; damage() then says why. */
+    public Kept read() {
+        Path file = folder.resolve(FILE);
+        damage = null;
+        try {
+            if (!Files.exists(file)) {
+                return null;
+            }
+            byte[] bytes = Files.readAllBytes(file);
+            ByteBuffer head = ByteBuffer.wrap(bytes);
+            if (bytes.length < HEAD || head.getInt() != MAGIC || head.getInt() != bytes.length - HEAD
+                    || head.getInt() != checksum(bytes, HEAD)) {
+                damage = "its length or checksum is wrong";
+            } else {
+                return MAPPER.readValue(bytes, HEAD, bytes.length - HEAD, Kept.class);
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            damage = String.valueOf(e.getMessage()).lines().findFirst().orElse("unreadable");
+        }
+        setAside(file);
+        return null;
+    }
+
+    /** What cannot be trusted stays for a person to look at. */
+    private void setAside(Path file) {
+        try {
+            Files.move(file, folder.resolve(FILE + ".damaged"), StandardCopyOption.REPLACE_EXISTING);
+        } catch (IOException e) {
+            damage += "; it could not be set aside: " + e.getMessage();
+        }
+    }
+
+    public String damage() {
+        return damage;
+    }
+
+    /** Returns once the state would outlast the machine's fall; what fails here must not be answered. */
+    public void write(Kept kept) throws IOException {
+        byte[] body = MAPPER.writeValueAsBytes(kept);
+        ByteBuffer bytes = ByteBuffer.allocate(HEAD + body.length).putInt(MAGIC).putInt(body.length).putInt(checksum(body, 0))
+                .put(body).flip();
+        Path fresh = folder.resolve(FILE + ".new");
+        try (FileChannel file = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
+                StandardOpenOption.WRITE)) {
+            while (bytes.hasRemaining()) {
+                file.write(bytes);
+            }
+            file.force(true);
+        }
+        Files.move(fresh, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
+            directory.force(true);
+        }
+    }
+
+    private static int checksum(byte[] bytes, int from) {
+        CRC32C crc = new CRC32C();
+        crc.update(bytes, from, bytes.length - from);
+        return (int) crc.getValue();
+    }
+
+    @Override
+    public void close() throws IOException {
+        lock.release();
+        lockChannel.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/hopdrum/fleet/view/Membership.java
@@ -0,0 +1,115 @@
+package hopdrum.fleet.view;
+
+import hopdrum.fleet.Timing;
+import hopdrum.fleet.message.Member;
+import hopdrum.fleet.message.Message;
+import hopdrum.fleet.store.Store.Kept;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * One member's part in its fleet: what peers say goes to who decides on it. Not thread-safe: its owner calls it under
+ * one lock, or in virtual time. Times are microseconds of one monotonic clock.
+ */
+public final class Membership {
+    private static final int REFUSED_PERIODS = 20; // before one whose name is taken tries again
+
+    private final Member self;
+    private final Timing timing;
+    private final SplittableRandom random;
+    private final Decisions log;
+    private final Reachability reach;
+    private final Council council;
+    private long refusedUntilUs = Long.MIN_VALUE / 2;
+    private boolean left;
+
+    public Membership(Member self, List<String> seeds, List<String> founders, Kept kept, Timing timing,
+                      SplittableRandom random, Out out, Council.Keeper keeper, Decisions log, long nowUs) {
+        this.self = self;
+        this.timing = timing;
+        this.random = random;
+        this.log = log;
+        reach = new Reachability(self, seeds, timing, random, out, log, nowUs);
+        council = new Council(self, founders, kept, timing, random, out, reach, keeper, log, nowUs);
+    }
+
+    public Reachability reach() {
+        return reach;
+    }
+
+    public Council council() {
+        return council;
+    }
+
+    /** Its name is another's, or it has left: it acts on nothing. */
+    public boolean isOut(long nowUs) {
+        return left || council.isSuperseded() || nowUs < refusedUntilUs;
+    }
+
+    public void tick(long nowUs) {
+        if (!isOut(nowUs)) {
+            reach.tick(nowUs);
+            council.tick(nowUs);
+        }
+    }
+
+    public void leave(long nowUs) {
+        if (!isOut(nowUs)) {
+            reach.leave();
+            log.event("leaves");
+        }
+        left = true;
+    }
+
+    public void heard(Member from, Message message, long nowUs) {
+        if (isOut(nowUs)) {
+            return;
+        }
+        if (message instanceof Message.Ping m) {
+            reach.heard(from, m, nowUs);
+            council.peerHas(from, m.era(), m.number(), nowUs);
+        } else if (message instanceof Message.Ack m) {
+            reach.heard(from, m, nowUs);
+            council.peerHas(from, m.era(), m.number(), nowUs);
+        } else if (message instanceof Message.PingFor m) {
+            reach.heard(from, m, nowUs);
+        } else if (message instanceof Message.Nack m) {
+            reach.heard(from, m, nowUs);
+        } else if (message instanceof Message.Exchange m) {
+            reach.heard(from, m, nowUs);
+            council.peerHas(from, m.era(), m.number(), nowUs);
+        } else if (message instanceof Message.NameTaken m) {
+            taken(m, nowUs);
+        } else if (message instanceof Message.Prepare m) {
+            council.heard(from, m, nowUs);
+        } else if (message instanceof Message.Promise m) {
+            council.heard(from, m, nowUs);
+        } else if (message instanceof Message.Accept m) {
+            council.heard(from, m, nowUs);
+        } else if (message instanceof Message.Accepted m) {
+            council.heard(from, m, nowUs);
+        } else if (message instanceof Message.Overruled m) {
+            council.heard(from, m, nowUs);
+        } else if (message instanceof Message.Settled m) {
+            council.heard(from, m, nowUs);
+        } else if (message instanceof Message.AskSettled m) {
+            council.heard(from, m, nowUs);
+        } else if (message instanceof Message.Renew m) {
+            council.heard(from, m, nowUs);
+        } else if (message instanceof Message.Renewed m) {
+            council.heard(from, m, nowUs);
+        } else if (message instanceof Message.Held m) {
+            council.leases().heard(m, council.view(), nowUs);
+        }
+    }
+
+    /** One that was settled on is told so by no other: it is the other that must go. */
+    private void taken(Message.NameTaken said, long nowUs) {
+        if (said.holder().name().equals(self.name()) && !said.holder().is(self) && !council.view().has(self)) {
+            refusedUntilUs = nowUs + REFUSED_PERIODS * timing.periodUs() / 2
+                    + random.nextLong(REFUSED_PERIODS * timing.periodUs());
+            log.event("refused", "why", "the name is another's", "its_start", said.holder().start(),
+                    "at_address", said.holder().address());
+        }
+    }
+}
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -18,12 +18,14 @@
 import hopdrum.host.Host;
 import hopdrum.host.Listed;
 import hopdrum.host.Outcome;
+import hopdrum.host.Sharers;
 import hopdrum.policy.Policy;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.SocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 
 /**
  * One front door: Policy's Host on sockets. What comes in turns into calls on Policy, and Policy's calls into bytes;
@@ -55,6 +57,7 @@
     private Loop.Timer wake;
     private boolean listKnown;
     private Runnable lost = () -> { };
+    private Supplier<Sharers> sharers = () -> null;
 
     /** What happened since the last line that said so. */
     private static final class Tally {
@@ -147,6 +150,16 @@
         lost = what;
     }
 
+    /** Where a fleet runs: what it has settled is looked at for each RPC that needs it. */
+    public void shares(Supplier<Sharers> settled) {
+        sharers = settled;
+    }
+
+    @Override
+    public Sharers sharers() {
+        return sharers.get();
+    }
+
     /** SIGHUP: discovery and the counter are followed to where they are now; the rest takes a new start. */
     public void follow(Config fresh) {
         LOG.info("a new configuration", "discovery " + fresh.discovery() + ", counter " + fresh.counter());
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Loop.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Loop.java
@@ -71,6 +71,11 @@
         return nowUs;
     }
 
+    /** What this clock is ahead of the machine's monotonic one, microseconds. */
+    public long offsetUs() {
+        return wallAtStartUs - nanosAtStart / 1000;
+    }
+
     /** Bytes that are found now came in no earlier than this. */
     public long unseenSinceUs() {
         return unseenSinceUs;
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
@@ -33,15 +33,35 @@
                 }
                 loop.ask(loop::stop);
             }, "client").start();
+            return null;
         });
     }
 
+    /** What runs beside the front door, on threads of its own: told of SIGTERM, closed once the loop has ended. */
+    public interface Beside {
+        void stopping();
+
+        void close() throws IOException;
+    }
+
+    /** Starts what runs beside the front door; an IOException ends the start. */
+    public interface Besides {
+        Beside start(Config config, Loop loop, FrontDoor door) throws IOException;
+    }
+
     /** Runs until SIGTERM. */
     public static int serve(String configFile) {
+        return serve(configFile, (config, loop, door) -> null);
+    }
+
+    /** The same with something beside. */
+    public static int serve(String configFile, Besides besides) {
         return run(configFile, "serve", (config, loop, door) -> {
+            Beside beside = besides.start(config, loop, door);
             Thread loopThread = Thread.currentThread();
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(loop, door, loopThread), "on-sigterm"));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(loop, door, beside, loopThread), "on-sigterm"));
             LOG.info("serving as " + config.name(), config.listen());
+            return beside;
         });
     }
 
@@ -90,7 +110,7 @@
     }
 
     private interface WhenUp {
-        void up(Config config, Loop loop, FrontDoor door);
+        Beside up(Config config, Loop loop, FrontDoor door) throws IOException;
     }
 
     /** The exit code is the process's. */
@@ -106,10 +126,13 @@
             Warmup.run(config);
             FrontDoor door = new FrontDoor(config, loop);
             reload.follows(door);
-            whenUp.up(config, loop, door);
+            Beside beside = whenUp.up(config, loop, door);
             loop.run();
             door.close();
             loop.close();
+            if (beside != null) {
+                beside.close();
+            }
             LOG.info("ended", null);
             exitCode = 0;
             return 0;
@@ -134,8 +157,11 @@
     }
 
     /** Runs as the process is told to end: it ends once the loop has, and then as a success. */
-    private static void end(Loop loop, FrontDoor door, Thread loopThread) {
+    private static void end(Loop loop, FrontDoor door, Beside beside, Thread loopThread) {
         loop.ask(door::stop);
+        if (beside != null) {
+            beside.stopping();
+        }
         try {
             loopThread.join();
         } catch (InterruptedException e) {
--- a/src/main/java/hopdrum/host/Host.java
+++ b/src/main/java/hopdrum/host/Host.java
@@ -22,6 +22,11 @@
 
     void wakeIn(long delayUs);
 
+    /** Who shares the quotas of this tier's customers, as a fleet has settled; null where there is no fleet. */
+    default Sharers sharers() {
+        return null;
+    }
+
     /** Follows the list of backends, where it has to be asked for. */
     void followList();
 }
--- a/src/main/java/hopdrum/policy/Quota.java
+++ b/src/main/java/hopdrum/policy/Quota.java
@@ -3,6 +3,7 @@
 import hopdrum.host.Credit;
 import hopdrum.host.Outcome;
 import hopdrum.host.Plan;
+import hopdrum.host.Sharers;
 import hopdrum.policy.Policy.Rpc;
 import hopdrum.policy.Policy.Stage;
 import java.util.ArrayDeque;
@@ -362,10 +363,18 @@
         /** Its slices are shares of an RPC: this gateway alone knows next to nothing of the customer. */
         boolean holdsNone() { return plan.burst() < gateways; }
 
-        double depth(double units) { return Math.max(units, plan.burst() / gateways); }
+        /** Its part of what is split: in a fleet as settled, and nothing where that may not be acted on. */
+        double part() {
+            Sharers fleet = host.sharers();
+            if (fleet == null) return 1.0 / gateways;
+            return now() < fleet.untilUs() ? 1.0 / fleet.most(first, gateways, settings.gateways()) : 0;
+        }
+
+        double depth(double units) { return part() > 0 ? Math.max(units, plan.burst() * part()) : 0; }
 
         /** Its share of the rate, and of what the more gateways with less of the traffic leave unused. */
         double sliceRate() {
+            if (host.sharers() != null) return plan.rate() * part(); // halves of a split stay within the rate
             double gain = 1 + MOST_UNUSED * Math.max(0, 1 - 4.0 / gateways);
             double most = plan.ceilingRate() > 0 ? plan.ceilingRate() / plan.rate() - 1 : gain;
             return Math.min(gain, most) * plan.rate() / gateways;
@@ -374,12 +383,12 @@
         double bucketNow(double units) {
             double depth = depth(units); // one RPC at least: a smaller slice would let in none
             if (bucket < 0) { // full as the credit known, or in part of the cases; fewer where nobody reads
-                double sinceStart = plan.rate() * (now() - startedUs) / 1e6 / plan.burst();
+                double grown = plan.rate() * (now() - startedUs) / 1e6 / plan.burst();
                 boolean read = settings.mayTell() && now() - lastAnswerUs < OUTAGE_US; // beyond would be told
                 double share = read ? 1 : Math.min(1, AT_ONCE * plan.burst() / gateways);
-                double full = Math.max(AT_START, sinceStart) * share;
+                double full = Math.max(AT_START, grown) * share;
                 bucket = depth * (creditAtUs != NEVER ? Math.max(0, Math.min(1, creditNow() / plan.burst()))
-                        : random.nextDouble() < full ? 1 : 0);
+                        : host.sharers() != null ? Math.min(1, grown) : random.nextDouble() < full ? 1 : 0);
                 bucketAtUs = now();
             }
             return Math.min(depth, bucket + sliceRate() * (now() - bucketAtUs) / 1e6);
@@ -391,7 +400,7 @@
          */
         void forgetRefilled() {
             if (bucket >= 0 && owed > 0) {
-                owed = Math.min(owed, Math.max(0, plan.burst() / gateways - bucketNow(0)));
+                owed = Math.min(owed, Math.max(0, depth(0) - bucketNow(0)));
             }
         }
 
@@ -411,7 +420,8 @@
                 }
                 rpc.admit();
             } else {
-                policy.finish(rpc, returnIn((long) ((rpc.units - bucket) / sliceRate() * 1e6), rpc.units));
+                long waitUs = (long) Math.min(1e12, (rpc.units - bucket) / sliceRate() * 1e6); // may be for ever
+                policy.finish(rpc, returnIn(waitUs, rpc.units));
             }
         }
     }
--- /dev/null
+++ b/src/rig/java/hopdrum/rig/swarm/Swarm.java
@@ -0,0 +1,281 @@
+package hopdrum.rig.swarm;
+
+import hopdrum.fleet.Timing;
+import hopdrum.fleet.message.Codec;
+import hopdrum.fleet.message.Member;
+import hopdrum.fleet.message.Message;
+import hopdrum.fleet.message.View;
+import hopdrum.fleet.store.Store.Kept;
+import hopdrum.fleet.view.Council;
+import hopdrum.fleet.view.Membership;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Many members in virtual time, in one thread: the product's membership on a network of messages that are delayed, lost
+ * and cut. What it measures is simulated. Each step the rules are checked: no number names two views, claims of one tier
+ * never add up to more than the whole, numbers at one start never fall.
+ */
+public final class Swarm {
+    private static final long STEP_US = 10_000;
+
+    /** One process that is or was. */
+    public final class Node {
+        public final String name;
+        public final int gateway;
+        Kept kept;             // what its disk holds
+        Membership membership; // null while it is down
+        Member self;
+        long pausedUntilUs;
+        long nextTickUs;
+        long lastNumber;
+        long lastEra;
+        public long bytes;
+        public long messages;
+        public long nanos;     // of this thread, in its code
+
+        Node(String name, int gateway) {
+            this.name = name;
+            this.gateway = gateway;
+        }
+
+        public boolean isUp() {
+            return membership != null;
+        }
+
+        public View view() {
+            return membership.council().view();
+        }
+
+        public Membership membership() {
+            return membership;
+        }
+    }
+
+    private record Flight(long atUs, long order, String from, String to, byte[] bytes, Member sender, long senderStart) {
+    }
+
+    /** Whether a message from the first to the second gets through, by name. */
+    public interface Net {
+        boolean passes(String from, String to);
+    }
+
+    private final SplittableRandom random;
+    private final Timing timing;
+    private final List<String> founders;
+    private final Map<String, Node> nodes = new LinkedHashMap<>();
+    private final PriorityQueue<Flight> flights = new PriorityQueue<>(
+            Comparator.comparingLong(Flight::atUs).thenComparingLong(Flight::order));
+    private final Map<String, String> contentByNumber = new HashMap<>();
+    private final Map<String, String> byAddress = new HashMap<>();
+    private long order;
+    private long nowUs = 1_000_000;
+    private long starts = 1_000_000_000_000L;
+    public double loss;
+    public long delayUs = 1_000;
+    public Net net = (from, to) -> true;
+    public final List<String> broken = new ArrayList<>();
+    public final Map<String, Integer> wronglyDropped = new TreeMap<>();
+    public final List<String> events = new ArrayList<>();
+    public boolean keepEvents;
+
+    public Swarm(int members, int founding, Timing timing, long seed) {
+        this.random = new SplittableRandom(seed);
+        this.timing = timing;
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < members; i++) {
+            Node node = new Node(String.format("m%03d", i), i);
+            nodes.put(node.name, node);
+            byAddress.put(address(node), node.name);
+            names.add(node.name);
+        }
+        founders = names.subList(0, founding);
+    }
+
+    private static String address(Node node) {
+        return "127.0." + (node.gateway / 200) + "." + (1 + node.gateway % 200) + ":7400";
+    }
+
+    public List<Node> nodes() {
+        return List.copyOf(nodes.values());
+    }
+
+    public Node node(int i) {
+        return nodes().get(i);
+    }
+
+    public long nowUs() {
+        return nowUs;
+    }
+
+    // ---- Faults ----
+
+    public void start(Node node, boolean withStore) {
+        if (!withStore) {
+            node.kept = null;
+        }
+        long start = ++starts;
+        long voter = node.kept == null ? random.nextLong() | 1 : node.kept.voter();
+        node.self = new Member(node.name, start, voter, "one", "here", node.gateway, address(node));
+        Kept kept = node.kept;
+        Member self = node.self;
+        node.lastNumber = 0;
+        node.lastEra = 0;
+        Council.Keeper keeper = k -> node.kept = k;
+        node.kept = kept == null ? new Kept(voter, start, View.NONE, null, null, null)
+                : new Kept(voter, start, kept.view(), kept.promised(), kept.acceptedIn(), kept.accepted());
+        List<String> seeds = founders.stream().limit(3).map(n -> address(nodes.get(n))).toList();
+        node.membership = new Membership(self, seeds, founders, kept, timing, random.split(),
+                (to, message) -> send(node, self, to, message), keeper, (event, pairs) -> event(node, event, pairs), nowUs);
+        node.nextTickUs = nowUs + random.nextLong(timing.periodUs() / 10);
+    }
+
+    private void event(Node node, String event, Object... pairs) {
+        if (keepEvents) {
+            events.add(nowUs + " " + node.name + " " + event + " " + List.of(pairs));
+        }
+        if (event.equals("member") && pairs[5].equals("DEAD") && pairs[7].equals(node.name)) {
+            Node of = nodes.get((String) pairs[1]);
+            if (of.isUp() && of.self.start() == (long) pairs[3] && of.pausedUntilUs <= nowUs) {
+                wronglyDropped.merge(of.name, 1, Integer::sum);
+            }
+        }
+    }
+
+    public void kill(Node node) {
+        node.membership = null;
+    }
+
+    public void leave(Node node) {
+        node.membership.leave(nowUs);
+        node.membership = null;
+    }
+
+    public void pause(Node node, long us) {
+        node.pausedUntilUs = nowUs + us;
+    }
+
+    // ---- The network ----
+
+    private void send(Node from, Member sender, String to, Message message) {
+        byte[] bytes = Codec.bytes(message);
+        from.bytes += bytes.length + 4;
+        from.messages++;
+        String name = byAddress.get(to);
+        if (name == null || random.nextDouble() < loss || !net.passes(from.name, name)) {
+            return;
+        }
+        long took = delayUs / 2 + random.nextLong(delayUs);
+        flights.add(new Flight(nowUs + took, order++, from.name, name, bytes, sender, sender.start()));
+    }
+
+    // ---- Time ----
+
+    /** Runs on; true as soon as the condition holds, false if it does not within the time. */
+    public boolean until(long us, BooleanSupplier condition) {
+        long end = nowUs + us;
+        while (nowUs < end) {
+            step();
+            if (condition.getAsBoolean()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    public void run(long us) {
+        until(us, () -> false);
+    }
+
+    private void step() {
+        nowUs += STEP_US;
+        while (!flights.isEmpty() && flights.peek().atUs <= nowUs) {
+            Flight f = flights.poll();
+            Node to = nodes.get(f.to);
+            if (!to.isUp() || !net.passes(f.from, f.to)) {
+                continue;
+            }
+            if (to.pausedUntilUs > nowUs) { // its kernel takes it in
+                flights.add(new Flight(to.pausedUntilUs + STEP_US, order++, f.from, f.to, f.bytes, f.sender, f.senderStart));
+                continue;
+            }
+            long began = System.nanoTime();
+            to.membership.heard(f.sender, Codec.read(f.bytes), nowUs);
+            to.nanos += System.nanoTime() - began;
+            check(to);
+        }
+        for (Node node : nodes.values()) {
+            if (node.isUp() && node.pausedUntilUs <= nowUs && node.nextTickUs <= nowUs) {
+                node.nextTickUs = nowUs + timing.periodUs() / 10;
+                long began = System.nanoTime();
+                node.membership.tick(nowUs);
+                node.nanos += System.nanoTime() - began;
+                check(node);
+            }
+        }
+        claims();
+    }
+
+    // ---- The rules ----
+
+    private void check(Node node) {
+        View view = node.view();
+        if (view.era() == node.lastEra && view.number() == node.lastNumber) {
+            return;
+        }
+        if (view.era() == node.lastEra && view.number() < node.lastNumber) {
+            broken.add(nowUs + " order: " + node.name + " went back to " + view.number());
+        }
+        node.lastEra = view.era();
+        node.lastNumber = view.number();
+        String content = view.members().toString();
+        String before = contentByNumber.putIfAbsent(view.era() + "/" + view.number(), content);
+        if (before != null && !before.equals(content)) {
+            broken.add(nowUs + " one-name-one-view: " + view.era() + "/" + view.number() + " at " + node.name);
+        }
+    }
+
+    /** What all may claim of one tier's quota at this moment; a process that is paused claims on until its lease is over. */
+    private void claims() {
+        double sum = 0;
+        for (Node node : nodes.values()) {
+            if (node.isUp() && !node.membership.isOut(nowUs) && nowUs < node.membership.council().leases().untilUs(nowUs)) {
+                int most = 1;
+                for (View view : node.membership.council().leases().live(nowUs)) {
+                    most = Math.max(most, view.members().size());
+                }
+                sum += 1.0 / most;
+            }
+        }
+        if (sum > 1 + 1e-9) {
+            broken.add(nowUs + " claims: " + sum + " of the whole");
+        }
+    }
+
+    /** All that run have one view, and it holds exactly them, by this start. */
+    public boolean isSettled() {
+        View first = null;
+        int up = 0;
+        for (Node node : nodes.values()) {
+            if (node.isUp()) {
+                up++;
+                View view = node.view();
+                if (first == null) {
+                    first = view;
+                }
+                if (!view.isNamed(first.era(), first.number()) || !view.has(node.self)) {
+                    return false;
+                }
+            }
+        }
+        return first != null && first.members().size() == up;
+    }
+}
