--- a/src/main/java/hopdrum/fleet/view/Reachability.java
+++ b/src/main/java/hopdrum/fleet/view/Reachability.java
@@ -40,6 +40,7 @@
         State state;
         long sinceUs;
         long heardUs = Long.MIN_VALUE / 2;       // it spoke to us itself
+        long lookUs;                             // when a suspect may be looked at again
         final Set<String> accusers = new HashSet<>(2); // of a suspicion; emptied with it
 
         Entry(Rumour of, long nowUs) {
@@ -51,6 +52,7 @@
             incarnation = r.incarnation();
             state = r.state();
             sinceUs = nowUs;
+            lookUs = nowUs;
             accusers.clear();
             if (state == State.SUSPECT) {
                 accusers.add(r.by());
@@ -82,7 +84,18 @@
     private record Relayed(String origin, long seq, long atUs) {
     }
 
-    private record Check(Entry of, long incarnation, long atUs) {
+    /** A ping at a suspect by one that others' word made look. */
+    private static final class Check {
+        final Entry of;
+        final long incarnation;
+        final long atUs;
+        boolean indirect;
+
+        Check(Entry of, long incarnation, long atUs) {
+            this.of = of;
+            this.incarnation = incarnation;
+            this.atUs = atUs;
+        }
     }
 
     private final Member self;
@@ -195,14 +208,7 @@
             }
         }
         relayed.values().removeIf(r -> nowUs - r.atUs > 2 * timing.periodUs());
-        for (Check check : List.copyOf(checks.values())) {
-            if (nowUs - check.atUs >= timing.periodUs() * patience()) {
-                checks.values().remove(check);
-                if (check.of.state == State.SUSPECT && check.of.incarnation == check.incarnation) {
-                    suspect(check.of, nowUs);
-                }
-            }
-        }
+        checks(nowUs);
         probe(nowUs);
         if (nowUs >= nextExchangeUs) {
             long mean = EXCHANGE_PERIODS * timing.periodUs() * Math.max(1, there() / EXCHANGE_MEMBERS);
@@ -235,14 +241,43 @@
         }
     }
 
+    /** Each suspect is looked at by some three others, at once and then each period: they confirm, or it refutes. */
+    private void checks(long nowUs) {
+        for (Entry e : entries.values()) {
+            if (e.state == State.SUSPECT && nowUs >= e.lookUs) {
+                e.lookUs = nowUs + timing.periodUs();
+                if (random.nextDouble() < (double) HELPERS / Math.max(1, there())) {
+                    ping(e, ++seq);
+                    checks.put(seq, new Check(e, e.incarnation, nowUs));
+                }
+            }
+        }
+        for (Map.Entry<Long, Check> one : List.copyOf(checks.entrySet())) {
+            Check check = one.getValue();
+            if (check.of.state != State.SUSPECT || check.of.incarnation != check.incarnation) {
+                checks.remove(one.getKey());
+            } else if (nowUs - check.atUs >= timing.periodUs() * patience()) {
+                checks.remove(one.getKey());
+                suspect(check.of, nowUs);
+            } else if (!check.indirect && nowUs - check.atUs >= timing.pingUs() * patience()) {
+                check.indirect = true;
+                askHelpers(check.of, one.getKey());
+            }
+        }
+    }
+
+    private int askHelpers(Entry about, long number) {
+        List<Entry> helpers = some(HELPERS, e -> e.state == State.ALIVE && e != about);
+        for (Entry helper : helpers) {
+            out.send(helper.member.address(), new Message.PingFor(number, about.member, gossipFor(helper)));
+        }
+        return helpers.size();
+    }
+
     private void probe(long nowUs) {
         if (probed != null && !probeIndirect && nowUs - probeSentUs >= timing.pingUs() * patience()) {
             probeIndirect = true;
-            List<Entry> helpers = some(HELPERS, e -> e.state == State.ALIVE && e != probed);
-            nacksAwaited = helpers.size();
-            for (Entry helper : helpers) {
-                out.send(helper.member.address(), new Message.PingFor(probeSeq, probed.member, gossipFor(helper)));
-            }
+            nacksAwaited = askHelpers(probed, probeSeq);
         }
         if (nowUs < nextProbeUs) {
             return;
@@ -258,12 +293,6 @@
             probed = null;
         }
         nextProbeUs = nowUs + timing.periodUs();
-        for (Entry e : entries.values()) { // each suspect is looked at by some three others a period
-            if (e.state == State.SUSPECT && random.nextDouble() < (double) HELPERS / Math.max(1, there())) {
-                ping(e, ++seq);
-                checks.put(seq, new Check(e, e.incarnation, nowUs));
-            }
-        }
         probed = next();
         if (probed != null) {
             probeSeq = ++seq;
