--- a/src/main/java/hopdrum/fleet/view/Reachability.java
+++ b/src/main/java/hopdrum/fleet/view/Reachability.java
@@ -196,7 +196,7 @@
     public void tick(long nowUs) {
         long awayUs = nowUs - lastTickUs;
         lastTickUs = nowUs;
-        if (awayUs > timing.periodUs()) {
+        if (awayUs > 2 * timing.periodUs()) {
             wokeAfter(awayUs, nowUs);
         }
         for (Entry e : List.copyOf(entries.values())) {
@@ -230,7 +230,7 @@
      */
     private void wokeAfter(long awayUs, long nowUs) {
         log.event("woke", "away_us", awayUs);
-        health = WORST_HEALTH;
+        health = (int) Math.min(WORST_HEALTH, health + awayUs / timing.periodUs());
         probed = null;
         checks.clear();
         nextProbeUs = nowUs;
--- a/src/rig/java/hopdrum/rig/trial/Trial.java
+++ b/src/rig/java/hopdrum/rig/trial/Trial.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -23,6 +24,8 @@
 /** One trial: several real processes of the program, their neighbours, the weather between them, and a verdict. */
 public final class Trial implements AutoCloseable {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int LEAST_PORT = 12_000;
+    private static final int PORTS = 20_000;
     private static final int MOST_TERM_MS = 6_000;
 
     private final TrialFile file;
@@ -38,6 +41,8 @@
     private final Map<String, Integer> starts = new HashMap<>();
     private final Map<String, List<String>> tiers = new LinkedHashMap<>();
     private final long seed;
+    private final SplittableRandom ports = new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid());
+    private final Map<Integer, ServerSocket> reserved = new HashMap<>();
     private Clients clients;
 
     /** home is where target/ lies. */
@@ -72,9 +77,28 @@
         return broken == null;
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+    /**
+     * Below the ports that connections are given on their way out, and held until its process starts: guards against
+     * another taking it meanwhile.
+     */
+    private int freePort() throws IOException {
+        for (int i = 0; i < 1_000; i++) {
+            int port = LEAST_PORT + ports.nextInt(PORTS);
+            try {
+                ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
+                reserved.put(port, socket);
+                return port;
+            } catch (java.net.BindException e) {
+                // another's: the next
+            }
+        }
+        throw new IOException("no free port");
+    }
+
+    private void giveUp(int port) throws IOException {
+        ServerSocket socket = reserved.remove(port);
+        if (socket != null) {
+            socket.close();
         }
     }
 
@@ -230,6 +254,8 @@
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("output.txt").toFile()));
         builder.environment().put("LB_CONFIG", config.toString());
+        giveUp(fleetPorts.get(door));
+        giveUp(clientPorts.get(door));
         Process process = builder.start();
         running.put(door, process);
         starts.merge(door, 1, Integer::sum);
@@ -330,6 +356,9 @@
             clients.close();
         }
         killAll();
+        for (ServerSocket socket : reserved.values()) {
+            socket.close();
+        }
         for (Relay r : relays.values()) {
             r.close();
         }
--- /dev/null
+++ b/src/test/java/hopdrum/fleet/BadInputTest.java
@@ -0,0 +1,160 @@
+package hopdrum.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import hopdrum.fleet.message.Ballot;
+import hopdrum.fleet.message.Codec;
+import hopdrum.fleet.message.Member;
+import hopdrum.fleet.message.Message;
+import hopdrum.fleet.message.Rumour;
+import hopdrum.fleet.message.View;
+import hopdrum.fleet.store.Store;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Files, frames, messages and stores that cannot be used: all named or dropped, and no state changed. */
+class BadInputTest {
+    @TempDir
+    Path folder;
+
+    private static final Member ONE = new Member("n1", 5, 7, "north", "ams", 0, "127.0.0.1:9");
+
+    private Path fleetFile(String text) throws IOException {
+        return Files.writeString(folder.resolve("fleet.yaml"), text);
+    }
+
+    private String good(int port, String name) {
+        return "fleet: demo\noperator: north\nsite: ams\nname: " + name + "\nlisten: 127.0.0.1:" + port + "\nseeds: [\"127.0.0.1:" + port
+                + "\"]\nfounders: [" + name + "]\nstore: " + folder.resolve("store-" + name) + "\nlog: " + folder.resolve(name + ".jsonl")
+                + "\nprobe_period_ms: 100\nlease_ms: 500\n";
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @Test
+    void everyFaultOfAFleetFileIsNamedAtOnceWithItsLine() throws IOException {
+        Path file = fleetFile("fleet: demo\noperator: no rth\nsite: ams\nname: n0\nlisten: here\nseeds: [\"127.0.0.1:0\"]\n"
+                + "founders: n0\nprobe_period_ms: 1000\nlease_ms: 900\ncolour: blue\n");
+        assertThatThrownBy(() -> FleetFile.read(file)).isInstanceOf(FleetFile.Faulty.class)
+                .hasMessageContaining("fleet.yaml:2: operator: 'no rth', expected a name")
+                .hasMessageContaining(":5: listen: 'here', expected a numeric address")
+                .hasMessageContaining(":6: seeds: '127.0.0.1:0', expected")
+                .hasMessageContaining(":7: founders: is no list")
+                .hasMessageContaining(":9: lease_ms: 900, expected five times probe_period_ms")
+                .hasMessageContaining(":10: colour: is not known")
+                .hasMessageContaining("store: is missing, expected a folder");
+        assertThatThrownBy(() -> FleetFile.read(fleetFile("a: [\n"))).hasMessageContaining("no YAML");
+        assertThatThrownBy(() -> FleetFile.read(folder.resolve("none.yaml"))).hasMessageContaining("cannot be read");
+    }
+
+    @Property(tries = 500)
+    void noBytesAreAMessageByAccident(@ForAll byte[] bytes) {
+        try {
+            assertThat(Codec.read(bytes)).isNotNull();
+        } catch (IllegalArgumentException e) {
+            assertThat(e.getMessage()).doesNotContain("\n");
+        }
+    }
+
+    @Test
+    void messagesKeepTheirContentAndThoseWithImpossibleFiguresAreNone() {
+        View view = new View(9, 3, List.of(ONE));
+        List<Message> all = List.of(new Message.Hello(1, "demo", ONE),
+                new Message.Ping(4, 9, 3, List.of(new Rumour(ONE, 2, Rumour.State.SUSPECT, "n2"))),
+                new Message.Promise(9, 3, new Ballot(2, "n1"), null, null), new Message.Settled(view), new Message.Held(9, 3, 77));
+        for (Message m : all) {
+            byte[] bytes = Codec.bytes(m);
+            assertThat(Codec.read(bytes)).isEqualTo(m);
+            assertThatThrownBy(() -> Codec.read(Arrays.copyOf(bytes, bytes.length - 1))).isInstanceOf(IllegalArgumentException.class);
+        }
+        assertThatThrownBy(() -> new Member("n1", -5, 7, "north", "ams", 0, "127.0.0.1:9")).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> new Member("n1", 5, 7, "north", "ams", 0, "example.org:9")).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> new View(9, 3, List.of(ONE, ONE))).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> new Message.Accept(9, 3, Ballot.NONE, new View(9, 5, List.of(ONE)))).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> new Rumour(ONE, Long.MAX_VALUE, Rumour.State.ALIVE, "n1")).isInstanceOf(IllegalArgumentException.class);
+    }
+
+    @Test
+    void aStoreCutOffInMidWriteIsSetAsideAndNamedAndAFolderServesOneProcess() throws IOException {
+        Path store = folder.resolve("store");
+        try (Store first = new Store(store)) {
+            first.write(new Store.Kept(7, 5, new View(9, 3, List.of(ONE)), new Ballot(2, "n1"), null, null));
+            assertThat(first.read().view().members()).containsExactly(ONE);
+            assertThatThrownBy(() -> new Store(store)).isInstanceOf(IOException.class);
+        }
+        byte[] bytes = Files.readAllBytes(store.resolve("member.cbor"));
+        for (int length : new int[] {0, 5, 12, bytes.length - 1}) {
+            Files.write(store.resolve("member.cbor"), Arrays.copyOf(bytes, length));
+            try (Store again = new Store(store)) {
+                assertThat(again.read()).isNull();
+                assertThat(again.damage()).isNotBlank();
+                assertThat(again.read()).isNull();
+                assertThat(again.damage()).isNull(); // nothing is there any more
+            }
+        }
+    }
+
+    private static void say(Socket to, Message... messages) throws IOException {
+        for (Message m : messages) {
+            byte[] body = Codec.bytes(m);
+            to.getOutputStream().write(ByteBuffer.allocate(4 + body.length).putInt(body.length).put(body).array());
+        }
+    }
+
+    private static Message hears(Socket from) throws IOException {
+        DataInputStream in = new DataInputStream(from.getInputStream());
+        byte[] body = new byte[in.readInt()];
+        in.readFully(body);
+        return Codec.read(body);
+    }
+
+    @Test
+    void peersThatMayNotSpeakOrSendNoFramesAreDroppedAndChangeNothing() throws Exception {
+        int port = freePort();
+        Path log = folder.resolve("n0.jsonl");
+        try (Fleet fleet = Fleet.start(FleetFile.read(fleetFile(good(port, "n0"))), 0, 1, 0)) {
+            Awaitility.await().atMost(10, TimeUnit.SECONDS).until(() -> Files.readString(log).contains("\"event\":\"view\""));
+            Member foreign = new Member("x", 5, 7, "south", "ams", 0, "127.0.0.1:9");
+            for (Message.Hello hello : List.of(new Message.Hello(1, "other", ONE), new Message.Hello(1, "demo", foreign),
+                    new Message.Hello(2, "demo", ONE))) {
+                try (Socket socket = new Socket("127.0.0.1", port)) {
+                    say(socket, hello);
+                    assertThat(hears(socket)).isInstanceOf(Message.Refused.class);
+                    assertThat(socket.getInputStream().read()).isNegative();
+                }
+            }
+            for (byte[] bytes : List.of(new byte[] {-1, -1, -1, -1, 0}, new byte[] {0x7f, 0, 0, 0}, new byte[] {0, 0, 0, 2, 9, 9})) {
+                try (Socket socket = new Socket("127.0.0.1", port)) {
+                    say(socket, new Message.Hello(1, "demo", ONE));
+                    assertThat(hears(socket)).isInstanceOf(Message.Hello.class);
+                    socket.getOutputStream().write(bytes);
+                    assertThat(socket.getInputStream().read()).isNegative();
+                }
+            }
+            Awaitility.await().atMost(5, TimeUnit.SECONDS).until(() -> Files.readString(log).contains("\"event\":\"peer_dropped\""));
+            assertThat(Files.readString(log)).doesNotContain("\"who\":\"n1\"").doesNotContain("\"who\":\"x\"");
+            fleet.leave();
+        }
+        Awaitility.await().atMost(5, TimeUnit.SECONDS).until(() -> Thread.getAllStackTraces().keySet().stream()
+                .noneMatch(t -> t.getName().startsWith("fleet-")));
+    }
+}
--- a/src/test/java/hopdrum/policy/FakeHost.java
+++ b/src/test/java/hopdrum/policy/FakeHost.java
@@ -6,6 +6,7 @@
 import hopdrum.host.Outcome;
 import hopdrum.host.Plan;
 import hopdrum.host.Settings;
+import hopdrum.host.Sharers;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -20,6 +21,7 @@
     boolean secondCopies = true;
     long clockUs = 90_000_000;
     Policy policy;
+    Sharers sharers;         // null: no fleet
     private long wakeUs = Long.MAX_VALUE;
     private long lastId;
 
@@ -87,6 +89,11 @@
         return asked.stream().filter(a -> a.startsWith(what)).toList();
     }
 
+    @Override
+    public Sharers sharers() {
+        return sharers;
+    }
+
     @Override
     public long nowUs() {
         return clockUs;
