--- a/src/main/java/hopdrum/policy/Quota.java
+++ b/src/main/java/hopdrum/policy/Quota.java
@@ -374,10 +374,10 @@
 
         /** Its share of the rate, and of what the more gateways with less of the traffic leave unused. */
         double sliceRate() {
-            if (host.sharers() != null) return plan.rate() * part(); // halves of a split stay within the rate
-            double gain = 1 + MOST_UNUSED * Math.max(0, 1 - 4.0 / gateways);
+            double unused = host.sharers() != null ? 0 : MOST_UNUSED; // halves of a split stay within the rate
+            double gain = 1 + unused * Math.max(0, 1 - 4.0 / gateways);
             double most = plan.ceilingRate() > 0 ? plan.ceilingRate() / plan.rate() - 1 : gain;
-            return Math.min(gain, most) * plan.rate() / gateways;
+            return Math.min(gain, most) * plan.rate() * part();
         }
 
         double bucketNow(double units) {
