A map of latency between sites: measured, shared by observer, merged in any order; not used yet

Each member asks three peers a period, of the sites it has looked at longest ago; the lesser of its last two samples is its reading; readings are merged by observer and number, ages travel as ages. A pair counts by the weighted median of observers; one alone moves a way by twice at most, and nobody's word shortens a way below what was seen. A pair that nobody measured lies between the bounds over third sites.

--- a/src/main/java/hopdrum/fleet/Fleet.java
+++ b/src/main/java/hopdrum/fleet/Fleet.java
@@ -14,7 +14,10 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Supplier;
 
 /**
@@ -25,6 +28,7 @@
 public final class Fleet implements AutoCloseable, Supplier<Sharers> {
     private static final int TICKS_A_PERIOD = 10;
     private static final long STATUS_US = 10_000_000;
+    private static final int MAP_PERIODS = 2;
 
     private final FleetFile file;
     private final Member self;
@@ -38,6 +42,7 @@
     private volatile boolean closed;
     private String claimed = "";
     private long statusUs;
+    private long mapUs;
 
     private final class Ears implements Links.Owner {
         @Override
@@ -139,6 +144,7 @@
                     membership.tick(nowUs());
                     publish();
                     status();
+                    map();
                 }
                 links.cutStalled(nowUs());
             } catch (RuntimeException e) { // a fault in one tick must not end all others
@@ -181,6 +187,21 @@
         }
     }
 
+    /** The map from here, for the log: how far each site is, how sure that is and how it is known. */
+    private void map() {
+        long now = nowUs();
+        if (now - mapUs < MAP_PERIODS * file.timing().periodUs()) {
+            return;
+        }
+        mapUs = now;
+        TreeSet<String> sites = new TreeSet<>();
+        membership.reach().present().forEach(m -> sites.add(m.site()));
+        Map<String, Object> ways = new TreeMap<>();
+        membership.latency().fromHere(sites, now).forEach((site, way) -> ways.put(site, List.of(way.rttUs(),
+                Math.round(way.sure() * 1000) / 1000.0, way.kind().name())));
+        log.event("map", "site", self.site(), "ways", ways);
+    }
+
     private void status() {
         long now = nowUs();
         if (now - statusUs < STATUS_US) {
--- a/src/main/java/hopdrum/fleet/message/Message.java
+++ b/src/main/java/hopdrum/fleet/message/Message.java
@@ -15,7 +15,8 @@
     @Type(value = Message.Accept.class, name = "accept"), @Type(value = Message.Accepted.class, name = "accepted"),
     @Type(value = Message.Overruled.class, name = "overruled"), @Type(value = Message.Settled.class, name = "settled"),
     @Type(value = Message.AskSettled.class, name = "asksettled"), @Type(value = Message.Renew.class, name = "renew"),
-    @Type(value = Message.Renewed.class, name = "renewed"), @Type(value = Message.Held.class, name = "held")})
+    @Type(value = Message.Renewed.class, name = "renewed"), @Type(value = Message.Latency.class, name = "latency"),
+    @Type(value = Message.Held.class, name = "held")})
 public sealed interface Message {
     int VERSION = 1;
     int MOST_RUMOURS = 2_000;
@@ -84,6 +85,14 @@
         }
     }
 
+    /** Readings of the sender's own and of others; one that is no answer asks for the same, and so measures the way. */
+    record Latency(long seq, boolean answer, List<Reading> readings) implements Message {
+        public Latency {
+            Member.check(readings != null && readings.size() <= MOST_RUMOURS, "readings");
+            readings = List.copyOf(readings);
+        }
+    }
+
     // ---- Settled views: era and number name the view that the next one is to follow ----
 
     record Prepare(long era, long number, Ballot ballot) implements Message {
--- a/src/main/java/hopdrum/fleet/view/Membership.java
+++ b/src/main/java/hopdrum/fleet/view/Membership.java
@@ -1,9 +1,11 @@
 package hopdrum.fleet.view;
 
 import hopdrum.fleet.Timing;
+import hopdrum.fleet.latency.LatencyMap;
 import hopdrum.fleet.message.Member;
 import hopdrum.fleet.message.Message;
 import hopdrum.fleet.store.Store.Kept;
+import java.util.Collections;
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -12,6 +14,7 @@
  * one lock, or in virtual time. Times are microseconds of one monotonic clock.
  */
 public final class Membership {
+    private static final int LATENCY_PEERS = 3;
     private static final int REFUSED_PERIODS = 20; // before one whose name is taken tries again
 
     private final Member self;
@@ -20,6 +23,10 @@
     private final Decisions log;
     private final Reachability reach;
     private final Council council;
+    private final LatencyMap latency;
+    private final Out out;
+    private long nextLatencyUs;
+    private long tickedUs;
     private long refusedUntilUs = Long.MIN_VALUE / 2;
     private boolean left;
 
@@ -29,7 +36,9 @@
         this.timing = timing;
         this.random = random;
         this.log = log;
-        reach = new Reachability(self, seeds, timing, random, out, log, nowUs);
+        this.out = out;
+        latency = new LatencyMap(self, timing.periodUs());
+        reach = new Reachability(self, seeds, timing, random, out, log, latency::sampled, nowUs);
         council = new Council(self, founders, kept, timing, random, out, reach, keeper, log, nowUs);
     }
 
@@ -37,6 +46,10 @@
         return reach;
     }
 
+    public LatencyMap latency() {
+        return latency;
+    }
+
     public Council council() {
         return council;
     }
@@ -47,9 +60,38 @@
     }
 
     public void tick(long nowUs) {
+        if (nowUs - tickedUs > timing.periodUs()) {
+            latency.woke();
+        }
+        tickedUs = nowUs;
         if (!isOut(nowUs)) {
             reach.tick(nowUs);
             council.tick(nowUs);
+            shareLatency(nowUs);
+        }
+    }
+
+    /** Each period three peers are asked and told, of the sites that this member has looked at longest ago. */
+    private void shareLatency(long nowUs) {
+        if (nowUs < nextLatencyUs) {
+            return;
+        }
+        nextLatencyUs = nowUs + timing.periodUs();
+        List<Member> peers = reach.present();
+        peers.removeIf(m -> m.is(self));
+        for (int i = peers.size() - 1; i > 0; i--) {
+            Collections.swap(peers, i, random.nextInt(i + 1));
+        }
+        for (int i = 0; i < LATENCY_PEERS && !peers.isEmpty(); i++) {
+            Member peer = peers.get(0);
+            for (Member other : peers) {
+                if (latency.sampledAtUs(other.site()) < latency.sampledAtUs(peer.site())) {
+                    peer = other;
+                }
+            }
+            String site = peer.site();
+            peers.removeIf(m -> m.site().equals(site));
+            out.send(peer.address(), new Message.Latency(latency.asks(peer, nowUs), false, latency.readings(nowUs)));
         }
     }
 
@@ -73,6 +115,13 @@
             council.peerHas(from, m.era(), m.number(), nowUs);
         } else if (message instanceof Message.PingFor m) {
             reach.heard(from, m, nowUs);
+        } else if (message instanceof Message.Latency m) {
+            latency.heard(m.readings(), nowUs);
+            if (m.answer() && nowUs - tickedUs < timing.periodUs()) { // no pause of ours in it
+                latency.answered(from, m.seq(), nowUs);
+            } else if (!m.answer()) {
+                out.send(from.address(), new Message.Latency(m.seq(), true, latency.readings(nowUs)));
+            }
         } else if (message instanceof Message.Nack m) {
             reach.heard(from, m, nowUs);
         } else if (message instanceof Message.Exchange m) {
--- a/src/main/java/hopdrum/fleet/view/Reachability.java
+++ b/src/main/java/hopdrum/fleet/view/Reachability.java
@@ -76,6 +76,11 @@
         }
     }
 
+    /** Who is told how long a direct ping took to be answered, microseconds. */
+    public interface Pings {
+        void took(Member peer, long rttUs, long nowUs);
+    }
+
     private static final class Pending {
         Rumour rumour;
         int said;
@@ -104,6 +109,7 @@
     private final SplittableRandom random;
     private final Out out;
     private final Decisions log;
+    private final Pings pings;
     private final Map<String, Entry> entries = new LinkedHashMap<>();   // by name; emptied by forget()
     private final Map<String, Pending> rumours = new LinkedHashMap<>(); // by name; emptied as they have been said enough
     private final Map<Long, Relayed> relayed = new LinkedHashMap<>();   // pings in others' stead; emptied by age and bound
@@ -126,13 +132,14 @@
     private long nextSeekUs;
 
     public Reachability(Member self, List<String> seeds, Timing timing, SplittableRandom random, Out out, Decisions log,
-                        long nowUs) {
+                        Pings pings, long nowUs) {
         this.self = self;
         this.seeds = List.copyOf(seeds);
         this.timing = timing;
         this.random = random;
         this.out = out;
         this.log = log;
+        this.pings = pings;
         this.lastTickUs = nowUs;
         this.nextProbeUs = nowUs + random.nextLong(timing.periodUs());
         this.nextExchangeUs = nowUs;
@@ -392,6 +399,9 @@
         if (forWhom != null) {
             out.send(forWhom.origin, new Message.Ack(forWhom.seq, view.era(), view.number(), List.of()));
         } else if (probed != null && ack.seq() == probeSeq) {
+            if (from.is(probed.member) && nowUs - lastTickUs < timing.periodUs() / 2) { // no pause of ours in it
+                pings.took(from, nowUs - probeSentUs, nowUs);
+            }
             probed = null; // answered, itself or through another
             health = Math.max(0, health - 1);
         }
--- a/src/rig/java/hopdrum/rig/check/Checker.java
+++ b/src/rig/java/hopdrum/rig/check/Checker.java
@@ -426,6 +426,7 @@
                 case "expect_unchanged" -> unchanged(l, until);
                 case "expect_not_dropped" -> notDropped(l, who, until);
                 case "expect_answered" -> answered(l, until);
+                case "expect_map" -> map(l, within, until);
                 default -> { }
             }
         }
@@ -524,6 +525,37 @@
         }
     }
 
+    /** "map": from the limit on, for so long, the median error of all ways that doors log is at most so large. */
+    private void map(JsonNode step, long withinUs, long untilUs) {
+        List<Double> errors = new ArrayList<>();
+        for (List<JsonNode> log : doors.values()) {
+            for (JsonNode l : log) {
+                if (!is(l, "map") || at(l) < withinUs || at(l) > untilUs) {
+                    continue;
+                }
+                JsonNode truth = null;
+                for (JsonNode d : rig) {
+                    truth = is(d, "distances") && at(d) <= at(l) ? d.path("one_way_ms") : truth;
+                }
+                for (Map.Entry<String, JsonNode> way : l.path("ways").properties()) {
+                    double oneWayMs = truth == null ? 0 : truth.path(l.path("site").asText() + "-" + way.getKey()).asDouble();
+                    if (oneWayMs >= 1) { // below, a machine's own delays are the larger part
+                        errors.add(Math.abs(way.getValue().path(0).asDouble() / 2_000 - oneWayMs) / oneWayMs);
+                    }
+                }
+            }
+        }
+        errors.sort(null);
+        double median = errors.isEmpty() ? Double.POSITIVE_INFINITY : errors.get(errors.size() / 2);
+        if (!errors.isEmpty()) {
+            measured.add(String.format(java.util.Locale.ROOT, "error of the map from %s on, %d ways: median %.3f, p90 %.3f", seconds(withinUs),
+                    errors.size(), median, errors.get(errors.size() * 9 / 10)));
+        }
+        if (median > step.path("more").path("error").asDouble(0.1)) {
+            fault("map", withinUs, String.format(java.util.Locale.ROOT, "the median error of %d ways is %.3f", errors.size(), median));
+        }
+    }
+
     /** "share": of the RPCs sent meanwhile at doors that ran, so large a part was answered with 200. */
     private void answered(JsonNode step, long untilUs) {
         int all = 0;
--- a/src/rig/java/hopdrum/rig/swarm/Swarm.java
+++ b/src/rig/java/hopdrum/rig/swarm/Swarm.java
@@ -25,7 +25,6 @@
  * never add up to more than the whole, numbers at one start never fall.
  */
 public final class Swarm {
-    private static final long STEP_US = 10_000;
 
     /** One process that is or was. */
     public final class Node {
@@ -42,6 +41,8 @@
         public long messages;
         public long nanos;     // of this thread, in its code
 
+        public String site = "here";
+
         Node(String name, int gateway) {
             this.name = name;
             this.gateway = gateway;
@@ -68,6 +69,16 @@
         boolean passes(String from, String to);
     }
 
+    /** What a member that lies says instead. */
+    public interface Tamper {
+        Message on(String from, Message message);
+    }
+
+    /** How much longer a message takes from the first to the second, by name, one way. */
+    public interface Delays {
+        long us(String from, String to);
+    }
+
     private final SplittableRandom random;
     private final Timing timing;
     private final List<String> founders;
@@ -80,6 +91,9 @@
     private long nowUs = 1_000_000;
     private long starts = 1_000_000_000_000L;
     public double loss;
+    public long stepUs = 10_000;
+    public Tamper tamper = (from, message) -> message;
+    public Delays delays = (from, to) -> 0;
     public long delayUs = 1_000;
     public Net net = (from, to) -> true;
     public final List<String> broken = new ArrayList<>();
@@ -124,7 +138,7 @@
         }
         long start = ++starts;
         long voter = node.kept == null ? random.nextLong() | 1 : node.kept.voter();
-        node.self = new Member(node.name, start, voter, "one", "here", node.gateway, address(node));
+        node.self = new Member(node.name, start, voter, "one", node.site, node.gateway, address(node));
         Kept kept = node.kept;
         Member self = node.self;
         node.lastNumber = 0;
@@ -165,7 +179,8 @@
 
     // ---- The network ----
 
-    private void send(Node from, Member sender, String to, Message message) {
+    private void send(Node from, Member sender, String to, Message said) {
+        Message message = tamper.on(from.name, said);
         byte[] bytes = Codec.bytes(message);
         from.bytes += bytes.length + 4;
         from.messages++;
@@ -173,7 +188,7 @@
         if (name == null || random.nextDouble() < loss || !net.passes(from.name, name)) {
             return;
         }
-        long took = delayUs / 2 + random.nextLong(delayUs);
+        long took = delayUs / 2 + random.nextLong(delayUs) + delays.us(from.name, name);
         flights.add(new Flight(nowUs + took, order++, from.name, name, bytes, sender, sender.start()));
     }
 
@@ -196,7 +211,7 @@
     }
 
     private void step() {
-        nowUs += STEP_US;
+        nowUs += stepUs;
         while (!flights.isEmpty() && flights.peek().atUs <= nowUs) {
             Flight f = flights.poll();
             Node to = nodes.get(f.to);
@@ -204,7 +219,7 @@
                 continue;
             }
             if (to.pausedUntilUs > nowUs) { // its kernel takes it in
-                flights.add(new Flight(to.pausedUntilUs + STEP_US, order++, f.from, f.to, f.bytes, f.sender, f.senderStart));
+                flights.add(new Flight(to.pausedUntilUs + stepUs, order++, f.from, f.to, f.bytes, f.sender, f.senderStart));
                 continue;
             }
             long began = System.nanoTime();
--- a/src/rig/java/hopdrum/rig/trial/Trial.java
+++ b/src/rig/java/hopdrum/rig/trial/Trial.java
@@ -119,6 +119,7 @@
         journal.event("trial", "about", file.about, "period_us", file.periodMs * 1_000L, "lease_us", file.leaseMs * 1_000L, "seed", seed,
                 "doors", operators, "founders", file.founders, "rate", file.rate, "burst", file.burst, "deadline_us",
                 file.deadlineMs * 1_000L, "tiers", tiers);
+        distances("", 1);
         long begin = Journal.nowUs();
         boolean loaded = false;
         for (Step step : file.steps) {
@@ -176,7 +177,11 @@
             case "wake" -> step.who().forEach(door -> signal(door, "CONT"));
             case "cut" -> each(from, to, false, w -> w.cut = true);
             case "cut_both" -> each(from, to, true, w -> w.cut = true);
-            case "heal" -> sky.clear();
+            case "heal" -> {
+                sky.clear();
+                distances("", 1);
+            }
+            case "slow_site" -> distances(step.text("site", ""), step.number("times", 1));
             case "release" -> each(from, to, true, w -> {
                 w.cut = false;
                 w.held = false;
@@ -200,6 +205,24 @@
         }
     }
 
+    /** The delay between each two doors by their sites; the ways of one site may be so many times longer. */
+    private void distances(String slow, double times) {
+        Map<String, Double> truth = new LinkedHashMap<>();
+        for (Door a : file.doors) {
+            for (Door b : file.doors) {
+                double ms = file.delaysMs.getOrDefault(a.site() + "-" + b.site(), file.delaysMs.getOrDefault(b.site() + "-" + a.site(), 0.0));
+                ms *= !a.site().equals(b.site()) && (a.site().equals(slow) || b.site().equals(slow)) ? times : 1;
+                if (a != b) {
+                    sky.between(a.answersTo(), b.answersTo()).delayUs = (long) (1_000 * ms);
+                }
+                truth.put(a.site() + "-" + b.site(), ms);
+            }
+        }
+        if (!file.delaysMs.isEmpty()) {
+            journal.event("distances", "one_way_ms", truth);
+        }
+    }
+
     private String operator(String door) {
         return file.doors.stream().filter(d -> d.name().equals(door)).findFirst().orElseThrow().operator();
     }
--- a/src/rig/java/hopdrum/rig/trial/TrialFile.java
+++ b/src/rig/java/hopdrum/rig/trial/TrialFile.java
@@ -39,9 +39,9 @@
     private static final Set<String> RANDOM = Set.of("from_s", "to_s", "every_s", "of", "most_down", "hold_s");
     private static final Set<String> STEPS = Set.of("start", "kill", "term", "pause", "wake", "cut", "cut_both", "heal", "delay", "lose",
             "duplicate", "hold", "release", "trickle", "reset", "counter", "expect_settled", "expect_same_view", "expect_cut_off",
-            "expect_refused", "expect_unchanged", "expect_not_dropped", "expect_answered");
+            "expect_refused", "expect_unchanged", "expect_not_dropped", "expect_answered", "slow_site", "expect_map");
     private static final Set<String> MORE = Set.of("from", "to", "store", "ms", "percent", "bytes_a_second", "is", "within_s", "for_s",
-            "share");
+            "share", "times", "site", "error");
 
     final String about;
     final int periodMs;
@@ -55,6 +55,7 @@
     final int deadlineMs;
     final long lengthMs;
     final List<Door> doors = new ArrayList<>();
+    final Map<String, Double> delaysMs = new LinkedHashMap<>(); // one way, by "site-site"
     final List<String> founders;
     final List<Step> steps = new ArrayList<>();
     private final List<String> faults = new ArrayList<>();
@@ -86,6 +87,17 @@
             String name = String.valueOf(d.get("name"));
             doors.add(new Door(name, text(d, "operator", "north"), text(d, "site", "here"), text(d, "answers_to", name), text(d, "planted", "")));
         }
+        if (all.get("delays_ms") instanceof Map<?, ?> delays) {
+            Set<String> sites = new HashSet<>(doors.stream().map(Door::site).toList());
+            delays.forEach((k, v) -> {
+                String[] ends = String.valueOf(k).split("-");
+                if (ends.length != 2 || !sites.contains(ends[0]) || !sites.contains(ends[1]) || !(v instanceof Number n && n.doubleValue() >= 0)) {
+                    faults.add("delays_ms: " + k + ": " + v + ", expected SITE-SITE: milliseconds one way, of sites that doors have");
+                } else {
+                    delaysMs.put(ends[0] + "-" + ends[1], n.doubleValue());
+                }
+            });
+        }
         founders = list(all, "founders").stream().map(String::valueOf).toList();
         Set<String> names = new HashSet<>(doors.stream().map(Door::name).toList());
         for (Object o : list(all, "steps")) {
--- /dev/null
+++ b/src/test/java/hopdrum/fleet/LatencyMapTest.java
@@ -0,0 +1,107 @@
+package hopdrum.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import hopdrum.fleet.latency.LatencyMap;
+import hopdrum.fleet.latency.LatencyMap.Kind;
+import hopdrum.fleet.message.Member;
+import hopdrum.fleet.message.Reading;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** The map of latency, a failure each: liars, pauses, old news, messages in any order. */
+class LatencyMapTest {
+    private static final long S = 1_000_000;
+    private static final long NOW = 1_000 * S;
+    private final LatencyMap map = new LatencyMap(member("me", "a"), S);
+
+    private static Member member(String name, String site) {
+        return new Member(name, 5, 7, "north", site, 0, "127.0.0.1:9");
+    }
+
+    private static Reading reading(String by, String from, String to, long seq, long rttUs, long ageUs) {
+        return new Reading(by, 5, from, to, seq, rttUs, ageUs);
+    }
+
+    @Test
+    void oneSampleThatTookLongIsNoDistanceAndTwoAre() {
+        map.sampled(member("p", "b"), 20_000, NOW);
+        map.sampled(member("p", "b"), 900_000, NOW + S);
+        assertThat(map.way("a", "b", NOW + S).rttUs()).isEqualTo(20_000);
+        map.sampled(member("q", "b"), 800_000, NOW + 2 * S);
+        assertThat(map.way("a", "b", NOW + 2 * S).rttUs()).isEqualTo(800_000);
+    }
+
+    @Test
+    void aLiarAmongManyMovesNothingAndAloneNoFurtherThanTwiceAndNeverBelowWhatWasSeen() {
+        map.sampled(member("p", "b"), 20_000, NOW);
+        map.heard(List.of(reading("liar", "a", "b", 1, 100, 0)), NOW);
+        assertThat(map.way("a", "b", NOW).rttUs()).isEqualTo(20_000);
+        map.heard(List.of(reading("x", "b", "a", 1, 21_000, 0), reading("y", "a", "b", 1, 20_500, 0)), NOW);
+        assertThat(map.way("a", "b", NOW).rttUs()).isBetween(20_000L, 21_000L);
+        map.heard(List.of(reading("x", "b", "c", 1, 30_000, 0), reading("liar", "a", "c", 1, 100, 0)), NOW);
+        assertThat(map.way("a", "c", NOW)).satisfies(w -> {
+            assertThat(w.kind()).isEqualTo(Kind.TOLD);
+            assertThat(w.rttUs()).as("10 to 50 ms by way of b: half of the middle at least").isEqualTo(15_000);
+            assertThat(w.sure()).isLessThanOrEqualTo(0.3);
+        });
+    }
+
+    @Test
+    void aWayThatNobodyMeasuredLiesBetweenTheBoundsOverAThirdSite() {
+        map.sampled(member("p", "b"), 20_000, NOW);
+        map.heard(List.of(reading("x", "b", "c", 1, 30_000, 0)), NOW);
+        assertThat(map.way("a", "c", NOW).kind()).isEqualTo(Kind.ESTIMATED);
+        assertThat(map.way("a", "c", NOW).rttUs()).isBetween(10_000L, 50_000L);
+        assertThat(map.way("a", "d", NOW)).isNull();
+    }
+
+    @Test
+    void oldNewsWeighsLessAndIsForgotten() {
+        map.heard(List.of(reading("x", "b", "c", 1, 10_000, 0), reading("y", "b", "c", 1, 11_000, 0),
+                reading("z", "c", "b", 1, 12_000, 0)), NOW);
+        double fresh = map.way("b", "c", NOW).sure();
+        assertThat(map.way("b", "c", NOW + 9 * S).sure()).isLessThan(fresh / 4);
+        assertThat(map.way("b", "c", NOW + 61 * S)).isNull();
+        map.heard(List.of(reading("x", "b", "c", 2, 10_000, 3_000 * S)), NOW + 62 * S);
+        assertThat(map.way("b", "c", NOW + 62 * S)).isNull();
+    }
+
+    @Test
+    void whatOthersSayOfThisMembersOwnReadingsIsNotTakenUp() {
+        map.sampled(member("p", "b"), 20_000, NOW);
+        map.heard(List.of(reading("me", "a", "b", 99, 1, 0)), NOW);
+        assertThat(map.way("a", "b", NOW).rttUs()).isEqualTo(20_000);
+    }
+
+    /** Any order, any loss that is made up for, any repeat: the same map. */
+    @Property(tries = 100)
+    void theOrderAndNumberOfMessagesChangeNothing(@ForAll long seed) {
+        Random random = new Random(seed);
+        List<Reading> all = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            all.add(reading("o" + random.nextInt(5), "b", "c", 1 + random.nextInt(8), 1_000 + random.nextInt(50_000), random.nextInt(5) * S));
+        }
+        all.sort((x, y) -> Long.compare(x.seq(), y.seq()));
+        List<Reading> distinct = new ArrayList<>(); // one content a number, as an honest observer has
+        for (Reading r : all) {
+            if (distinct.stream().noneMatch(d -> d.observer().equals(r.observer()) && d.seq() == r.seq())) {
+                distinct.add(r);
+            }
+        }
+        LatencyMap one = new LatencyMap(member("me", "a"), S);
+        LatencyMap two = new LatencyMap(member("me", "a"), S);
+        one.heard(distinct, NOW);
+        List<Reading> again = new ArrayList<>(distinct);
+        again.addAll(distinct.subList(0, distinct.size() / 2));
+        Collections.shuffle(again, random);
+        again.forEach(r -> two.heard(List.of(r), NOW));
+        assertThat(two.way("b", "c", NOW)).isEqualTo(one.way("b", "c", NOW));
+        assertThat(two.readings(NOW)).containsExactlyInAnyOrderElementsOf(one.readings(NOW));
+    }
+}
