Placement by the map: near first while it can be in time, farther as the line grows; off without a fleet

Backends.pick() adds the way to a backend, in terms of the method's least time, to the score of its line and health; a backend that an RPC could not come back from in time is last. Answers' time is judged without the way, so that far is not taken for slow. Fleet hands out Distances, the whole map or none: null where a zone is not known, or old, contradicted or told by one alone; a way that grows shorter is turned to over some seconds. placement: plain leaves it out.

--- a/src/main/java/hopdrum/FleetServer.java
+++ b/src/main/java/hopdrum/FleetServer.java
@@ -21,7 +21,8 @@
         }
         return Server.serve(configFile, (config, loop, door) -> {
             Fleet fleet = Fleet.start(file, config.settings().ordinal(), config.seed(), loop.offsetUs());
-            door.shares(fleet);
+            fleet.zones(config.zones());
+            door.knows(fleet, fleet::distances);
             return new Server.Beside() {
                 @Override
                 public void stopping() {
--- a/src/main/java/hopdrum/fleet/Fleet.java
+++ b/src/main/java/hopdrum/fleet/Fleet.java
@@ -1,5 +1,6 @@
 package hopdrum.fleet;
 
+import hopdrum.fleet.latency.LatencyMap;
 import hopdrum.fleet.link.Links;
 import hopdrum.fleet.message.Member;
 import hopdrum.fleet.message.Message;
@@ -8,6 +9,7 @@
 import hopdrum.fleet.store.Store;
 import hopdrum.fleet.view.Leases;
 import hopdrum.fleet.view.Membership;
+import hopdrum.host.Distances;
 import hopdrum.host.Sharers;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -29,6 +31,8 @@
     private static final int TICKS_A_PERIOD = 10;
     private static final long STATUS_US = 10_000_000;
     private static final int MAP_PERIODS = 2;
+    private static final double LEAST_SURE = 0.3;  // below, a way is old, contradicted, or one member's word
+    private static final double SHORTER = 0.02;    // of the difference, a tick: nobody turns to a site at once that has come near
 
     private final FleetFile file;
     private final Member self;
@@ -39,6 +43,9 @@
     private final long loopOffsetUs;
     private final Thread ticker;
     private volatile Sharers sharers = new Sharers(Long.MIN_VALUE / 2, List.of());
+    private volatile Distances distances;          // null: not to be gone by
+    private List<String> zones = List.of();
+    private double[] shown = {};                   // by zone, as last handed out
     private volatile boolean closed;
     private String claimed = "";
     private long statusUs;
@@ -137,6 +144,40 @@
         return sharers;
     }
 
+    /** The zones that backends stand in, in the settings' order: from now on distances() tells how far they are. */
+    public synchronized void zones(List<String> names) {
+        zones = List.copyOf(names);
+    }
+
+    /** Null where the map does not know all zones, or not surely: then nothing is gone by. */
+    public Distances distances() {
+        return distances;
+    }
+
+    private void place() {
+        if (!file.places() || zones.isEmpty()) {
+            return;
+        }
+        long now = nowUs();
+        Map<String, LatencyMap.Way> ways = membership.latency().fromHere(zones, now);
+        LatencyMap.Way home = ways.get(self.site());
+        double[] next = new double[zones.size()];
+        for (int i = 0; i < next.length; i++) {
+            LatencyMap.Way way = ways.get(zones.get(i));
+            if (!zones.get(i).equals(self.site()) && (way == null || way.sure() <= LEAST_SURE)) {
+                distances = null;
+                shown = new double[0];
+                return;
+            }
+            next[i] = zones.get(i).equals(self.site()) ? 0 : Math.max(0, way.rttUs() - (home == null ? 0 : home.rttUs()));
+        }
+        for (int i = 0; i < next.length && shown.length == next.length; i++) {
+            next[i] = next[i] < shown[i] ? shown[i] + SHORTER * (next[i] - shown[i]) : next[i];
+        }
+        shown = next;
+        distances = new Distances(java.util.Arrays.stream(next).mapToLong(d -> (long) d).toArray());
+    }
+
     private void keepTime() {
         while (!closed) {
             try {
@@ -145,6 +186,7 @@
                     publish();
                     status();
                     map();
+                    place();
                 }
                 links.cutStalled(nowUs());
             } catch (RuntimeException e) { // a fault in one tick must not end all others
--- a/src/main/java/hopdrum/fleet/FleetFile.java
+++ b/src/main/java/hopdrum/fleet/FleetFile.java
@@ -22,7 +22,8 @@
 
 /** The file that serve --fleet names, read whole: all its faults are found before one is said. docs/fleet.md has its keys. */
 public record FleetFile(String fleet, String operator, List<String> operators, String site, String name, String listen,
-                        String advertise, List<String> seeds, List<String> founders, Path store, Path log, Timing timing) {
+                        String advertise, List<String> seeds, List<String> founders, Path store, Path log, Timing timing,
+                        boolean places) {
     private static final String NAME = "a name: letters, digits, dot, dash, underscore, 64 at most";
     private static final String ADDRESS = "a numeric address and a port, as 127.0.0.1:7401";
 
@@ -141,6 +142,7 @@
         List<String> founders = r.list("founders", true, Member::isName, NAME);
         String store = r.text("store", null, t -> !t.isBlank(), "a folder");
         String log = r.text("log", "", t -> !t.isBlank(), "a file");
+        String placement = r.text("placement", "map", t -> t.equals("map") || t.equals("plain"), "map or plain");
         Node lease = r.values.get("lease_ms");
         long periodMs = r.whole("probe_period_ms", 1_000, 50, 60_000);
         long leaseMs = r.whole("lease_ms", 10_000, 500, 600_000);
@@ -158,7 +160,7 @@
         }
         return new FleetFile(fleet, operator, operators.isEmpty() ? List.of(operator) : operators, site, name, listen, advertise,
                 seeds, founders, Path.of(store), log.isEmpty() ? null : Path.of(log),
-                new Timing(periodMs * 1_000, leaseMs * 1_000, forgetS * 1_000_000));
+                new Timing(periodMs * 1_000, leaseMs * 1_000, forgetS * 1_000_000), placement.equals("map"));
     }
 
     private static int lineOf(String fault) {
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -15,6 +15,7 @@
 import hopdrum.frontdoor.wire.HttpReader;
 import hopdrum.frontdoor.wire.Ring;
 import hopdrum.frontdoor.wire.RpcHead;
+import hopdrum.host.Distances;
 import hopdrum.host.Host;
 import hopdrum.host.Listed;
 import hopdrum.host.Outcome;
@@ -58,6 +59,7 @@
     private boolean listKnown;
     private Runnable lost = () -> { };
     private Supplier<Sharers> sharers = () -> null;
+    private Supplier<Distances> distances = () -> null;
 
     /** What happened since the last line that said so. */
     private static final class Tally {
@@ -150,9 +152,15 @@
         lost = what;
     }
 
-    /** Where a fleet runs: what it has settled is looked at for each RPC that needs it. */
-    public void shares(Supplier<Sharers> settled) {
+    /** Where a fleet runs: what it has settled and how far zones are is looked at for each RPC that needs it. */
+    public void knows(Supplier<Sharers> settled, Supplier<Distances> far) {
         sharers = settled;
+        distances = far;
+    }
+
+    @Override
+    public Distances distances() {
+        return distances.get();
     }
 
     @Override
--- a/src/main/java/hopdrum/host/Host.java
+++ b/src/main/java/hopdrum/host/Host.java
@@ -27,6 +27,11 @@
         return null;
     }
 
+    /** How far zones are, as a fleet knows; null where there is no fleet, or its map is not to be trusted. */
+    default Distances distances() {
+        return null;
+    }
+
     /** Follows the list of backends, where it has to be asked for. */
     void followList();
 }
--- a/src/main/java/hopdrum/policy/Backends.java
+++ b/src/main/java/hopdrum/policy/Backends.java
@@ -1,5 +1,6 @@
 package hopdrum.policy;
 
+import hopdrum.host.Commonest;
 import hopdrum.host.Listed;
 import hopdrum.host.Method;
 import hopdrum.host.Plan;
@@ -85,7 +86,9 @@
         for (Backend b : backends.values()) {
             if (!rpc.mayGoTo(b) || rpc.isOutAt(b) || !b.hasPlace(rpc.row)) continue;
             boolean last = rpc.tried(b) || now() < b.shunsUntilUs.getOrDefault(rpc.customer.plan, NEVER);
-            double score = b.score() * (1 + 0.02 * random.nextDouble()) * (last ? 1000 : 1);
+            double score = b.score() * (1 + 0.02 * random.nextDouble());
+            score = score + b.farUs() / rpc.row.leastUs; // near first, farther as the line there grows
+            score *= last || rpc.wouldBeLate(b.farUs()) ? 1000 : 1;
             if (score < bestScore) {
                 bestScore = score;
                 best = b;
@@ -123,6 +126,9 @@
             startedUs = entry.startedAtUs();
         }
 
+        /** What the way to it and back takes; 0 without a map. Its answers' time is judged without it. */
+        long farUs() { return host.distances() == null ? 0 : host.distances().rttUs(listed.zone()); }
+
         boolean usable() { return ready && now() >= ejectedUntilUs; }
 
         boolean hasPlace(Row row) {
@@ -265,8 +271,7 @@
         double devUs;
         int seen;
         double leastUs;             // the least mean of late: what an answer takes where nothing waits
-        final long[] leftSeen = new long[8];  // how long clients will still wait, and how often seen
-        final int[] leftCount = new int[8];
+        final Commonest leftAtFirst = new Commonest(AGE_NOISE_US); // how long clients will still wait
 
         Row(Method method) {
             this.method = method;
@@ -277,22 +282,10 @@
 
         /**
          * How long the client has been asking. First tries have the same time left, the most common one; a
-         * try with another has what remains of its client's whole time. Misra and Gries' count finds it.
+         * try with another has what remains of its client's whole time.
          */
         long ageUs(long leftUs) {
-            int common = 0;
-            int mine = -1;
-            int free = -1;
-            for (int i = 0; i < leftSeen.length; i++) {
-                common = leftCount[i] > leftCount[common] ? i : common;
-                mine = leftCount[i] > 0 && Math.abs(leftSeen[i] - leftUs) < AGE_NOISE_US ? i : mine;
-                free = leftCount[i] == 0 ? i : free;
-            }
-            if (mine < 0 && free >= 0) leftSeen[mine = free] = leftUs;
-            if (mine >= 0) leftCount[mine]++;
-            for (int i = 0; i < leftSeen.length && mine < 0; i++) leftCount[i]--;
-            boolean first = mine >= 0 && leftCount[mine] >= leftCount[common];
-            return first ? 0 : Math.max(0, method.deadlineUs() - leftUs);
+            return leftAtFirst.isCommonest(leftUs) ? 0 : Math.max(0, method.deadlineUs() - leftUs);
         }
 
         void learn(long tookUs) {
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -169,7 +169,7 @@
         backend.sentCold(rpc.row);
         // Its time-out is when this gateway gives up: a backend need not begin what nobody waits for.
         host.callOut(rpc.id, backend.id, Math.max(1, rpc.giveUpAtUs - now()));
-        at(now() + rpc.row.patienceUs(), () -> overdue(rpc, callOut));
+        at(now() + rpc.row.patienceUs() + backend.farUs(), () -> overdue(rpc, callOut));
     }
 
     // ---- Further call-outs and the end of an RPC ----
@@ -259,11 +259,12 @@
         }
 
         /** A call-out has ended; over tells that the client has its answer, by this or earlier. */
-        public void callOutEnded(int number, Outcome outcome, long tookUs, boolean over, int settled,
+        public void callOutEnded(int number, Outcome outcome, long wholeUs, boolean over, int settled,
                                  float[] report) {
             if (number >= callOuts.size() || !callOuts.get(number).out) return;
             CallOut callOut = callOuts.get(number);
             Backend backend = callOut.backend;
+            long tookUs = Math.max(1, wholeUs - backend.farUs());
             callOut.out = false;
             callOut.neverRan = outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED
                     || outcome == Outcome.MOOT;
@@ -339,6 +340,8 @@
             return callOuts.stream().filter(c -> !c.neverRan).findFirst().orElse(null);
         }
 
+        boolean wouldBeLate(long farUs) { return farUs > 0 && now() + farUs + row.usualUs() > softDlUs; }
+
         private boolean isTooLate() { return row.method.lateUtility() <= 0 && now() > startByUs; }
 
         /** A pushback tells the client that a repeat is harmless: so only where it is. */
--- a/src/main/java/hopdrum/policy/Quota.java
+++ b/src/main/java/hopdrum/policy/Quota.java
@@ -374,7 +374,7 @@
 
         /** Its share of the rate, and of what the more gateways with less of the traffic leave unused. */
         double sliceRate() {
-            double unused = host.sharers() != null ? 0 : MOST_UNUSED; // halves of a split stay within the rate
+            double unused = host.sharers() != null ? 0 : MOST_UNUSED; // halves of a split keep the rate
             double gain = 1 + unused * Math.max(0, 1 - 4.0 / gateways);
             double most = plan.ceilingRate() > 0 ? plan.ceilingRate() / plan.rate() - 1 : gain;
             return Math.min(gain, most) * plan.rate() * part();
@@ -420,7 +420,7 @@
                 }
                 rpc.admit();
             } else {
-                long waitUs = (long) Math.min(1e12, (rpc.units - bucket) / sliceRate() * 1e6); // may be for ever
+                long waitUs = (long) Math.min(1e12, (rpc.units - bucket) / sliceRate() * 1e6);
                 policy.finish(rpc, returnIn(waitUs, rpc.units));
             }
         }
--- a/src/rig/java/hopdrum/rig/check/Checker.java
+++ b/src/rig/java/hopdrum/rig/check/Checker.java
@@ -426,6 +426,7 @@
                 case "expect_unchanged" -> unchanged(l, until);
                 case "expect_not_dropped" -> notDropped(l, who, until);
                 case "expect_answered" -> answered(l, until);
+                case "expect_in_time" -> inTime(l, until);
                 case "expect_map" -> map(l, within, until);
                 default -> { }
             }
@@ -525,6 +526,42 @@
         }
     }
 
+    /** "in_time": of the RPCs sent meanwhile that were not beyond a quota, so many had their 200 within the soft deadline. */
+    private void inTime(JsonNode step, long untilUs) {
+        int all = 0;
+        int inTime = 0;
+        List<Long> took = new ArrayList<>();
+        Map<String, String> door = new HashMap<>();
+        for (JsonNode l : rig) {
+            long sent = l.path("sent_us").asLong();
+            if (is(l, "rpc") && sent >= at(step) && sent < untilUs && !l.path("status").asText().equals("429")) {
+                all++;
+                door.put(l.path("rpc").asText(), trial.path("sites").path(l.path("door").asText()).asText());
+                if (l.path("status").asText().equals("200")) {
+                    took.add(at(l) - sent);
+                    inTime += at(l) - sent <= trial.path("deadline_us").asLong() / 2 ? 1 : 0;
+                }
+            }
+        }
+        int crossed = 0;
+        Map<String, Integer> bySite = new TreeMap<>();
+        for (JsonNode l : rig) {
+            String from = is(l, "ran") ? door.get(l.path("rpc").asText()) : null;
+            if (from != null) {
+                bySite.merge(l.path("site").asText(), 1, Integer::sum);
+                crossed += from.equals(l.path("site").asText()) ? 0 : 1;
+            }
+        }
+        took.sort(null);
+        double share = all == 0 ? 0 : (double) inTime / all;
+        measured.add(String.format(java.util.Locale.ROOT, "from %s for %.0f s: %d RPCs, in time %.3f, p50 %.1f ms, p99 %.1f ms, crossed %.3f, by site %s",
+                seconds(at(step)), (untilUs - at(step)) / 1e6, all, share, took.isEmpty() ? 0 : took.get(took.size() / 2) / 1e3,
+                took.isEmpty() ? 0 : took.get(took.size() * 99 / 100) / 1e3, all == 0 ? 0 : (double) crossed / all, bySite));
+        if (share < step.path("more").path("share").asDouble()) {
+            fault("in_time", untilUs, String.format(java.util.Locale.ROOT, "%.3f of %d RPCs were in time", share, all));
+        }
+    }
+
     /** "map": from the limit on, for so long, the median error of all ways that doors log is at most so large. */
     private void map(JsonNode step, long withinUs, long untilUs) {
         List<Double> errors = new ArrayList<>();
--- a/src/rig/java/hopdrum/rig/trial/Neighbours.java
+++ b/src/rig/java/hopdrum/rig/trial/Neighbours.java
@@ -4,10 +4,13 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
 
 /** Backends, discovery and the counter of one operator, as stand-ins. */
 final class Neighbours implements AutoCloseable {
@@ -16,28 +19,65 @@
     private final Map<String, HttpStandIn> counters = new HashMap<>(); // by door: each can fall silent for one alone
     private final Map<String, String> counterState = new ConcurrentHashMap<>();
     private final Map<String, Double> totals = new HashMap<>();        // emptied by 'emptied' and with the trial
-    private final HttpStandIn discovery;
-    private final String list;
+    private final Map<String, HttpStandIn> discoveries = new HashMap<>(); // by door: each has ways of its own
+    private final Map<String, String> siteOf = new LinkedHashMap<>();     // of backends, by name
+    private final Map<String, Integer> portOf = new HashMap<>();
+    private final Map<String, List<Way>> ways = new HashMap<>();          // by sites, "from>to"
 
-    Neighbours(String operator, int count, long workUs, Journal journal) throws IOException {
+    /** So many backends at each site, each with so many slots (0: any number). */
+    Neighbours(String operator, Collection<String> sites, int count, int slots, long workUs, Journal journal) throws IOException {
         this.journal = journal;
-        StringBuilder hosts = new StringBuilder();
-        for (int i = 0; i < count; i++) {
-            String name = operator + "-b" + i;
-            HttpStandIn backend = new HttpStandIn(name, (request, to) -> {
-                journal.event("ran", "rpc", request.field("X-Trace-Id"), "backend", name, "method", request.field("X-Qos"));
-                Thread.sleep(workUs / 1000);
-                HttpStandIn.ok(to, "done");
-            });
-            backends.add(backend);
-            hosts.append(i == 0 ? "" : ",").append("{\"host\":\"").append(name).append("\",\"dial\":\"127.0.0.1:").append(backend.port())
-                    .append("\",\"site\":\"here\",\"class\":\"any\",\"block\":0,\"health\":\"in_service\",\"share\":1.0,\"born_ms\":0}");
+        for (String site : sites) {
+            for (int i = 0; i < count; i++) {
+                String name = operator + "-" + site + "-b" + i;
+                Semaphore free = new Semaphore(slots == 0 ? Integer.MAX_VALUE : slots, true);
+                HttpStandIn backend = new HttpStandIn(name, (request, to) -> {
+                    journal.event("ran", "rpc", request.field("X-Trace-Id"), "backend", name, "method", request.field("X-Qos"), "site", site);
+                    free.acquire();
+                    Thread.sleep(workUs / 1000);
+                    free.release();
+                    HttpStandIn.ok(to, "done");
+                });
+                backends.add(backend);
+                siteOf.put(name, site);
+                portOf.put(name, backend.port());
+            }
         }
-        list = "{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}";
-        discovery = new HttpStandIn(operator + "-discovery", this::discover);
     }
 
-    private void discover(HttpStandIn.Request request, OutputStream to) throws IOException, InterruptedException {
+    /** The list as one door is told it: each backend at the end of a way of its own. */
+    int discoveryFor(String door, String site) throws IOException {
+        HttpStandIn there = discoveries.get(door);
+        if (there == null) {
+            StringBuilder hosts = new StringBuilder();
+            for (Map.Entry<String, String> b : siteOf.entrySet()) {
+                Way way = new Way(portOf.get(b.getKey()));
+                ways.computeIfAbsent(site + ">" + b.getValue(), k -> new ArrayList<>()).add(way);
+                hosts.append(hosts.length() == 0 ? "" : ",").append("{\"host\":\"").append(b.getKey()).append("\",\"dial\":\"127.0.0.1:")
+                        .append(way.port()).append("\",\"site\":\"").append(b.getValue())
+                        .append("\",\"class\":\"any\",\"block\":0,\"health\":\"in_service\",\"share\":1.0,\"born_ms\":0}");
+            }
+            String list = "{\"seq\":1,\"whole\":true,\"hosts\":[" + hosts + "]}";
+            there = new HttpStandIn("discovery-" + door, (request, to) -> discover(list, request, to));
+            discoveries.put(door, there);
+        }
+        return there.port();
+    }
+
+    void distance(String from, String to, long oneWayUs) {
+        ways.getOrDefault(from + ">" + to, List.of()).forEach(w -> w.delay(oneWayUs));
+    }
+
+    /** A site's backends are out of reach, or back. */
+    void lost(String site, boolean now) {
+        ways.forEach((k, v) -> v.forEach(w -> {
+            if (k.endsWith(">" + site)) {
+                w.lost(now);
+            }
+        }));
+    }
+
+    private void discover(String list, HttpStandIn.Request request, OutputStream to) throws IOException, InterruptedException {
         if (!request.path().contains("watch=1")) {
             HttpStandIn.ok(to, list);
             return;
@@ -97,13 +137,16 @@
         }
     }
 
-    int discoveryPort() {
-        return discovery.port();
-    }
-
     @Override
     public void close() throws IOException {
-        discovery.close();
+        for (HttpStandIn s : discoveries.values()) {
+            s.close();
+        }
+        for (List<Way> some : ways.values()) {
+            for (Way w : some) {
+                w.close();
+            }
+        }
         for (HttpStandIn s : backends) {
             s.close();
         }
--- a/src/rig/java/hopdrum/rig/trial/Trial.java
+++ b/src/rig/java/hopdrum/rig/trial/Trial.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -107,7 +108,8 @@
             tiers.computeIfAbsent(door.operator(), k -> new ArrayList<>()).add(door.name());
         }
         for (String operator : tiers.keySet()) {
-            neighbours.put(operator, new Neighbours(operator, file.backends, file.workMs * 1_000L, journal));
+            neighbours.put(operator, new Neighbours(operator, new TreeSet<>(file.doors.stream().map(Door::site).toList()), file.backends,
+                    file.slots, file.workMs * 1_000L, journal));
         }
         for (Door door : file.doors) {
             fleetPorts.put(door.name(), freePort());
@@ -115,10 +117,15 @@
             relays.put(door.name(), new Relay(door.answersTo(), fleetPorts.get(door.name()), sky, seed + relays.size()));
         }
         Map<String, String> operators = new LinkedHashMap<>();
+        Map<String, String> sites = new LinkedHashMap<>();
         file.doors.forEach(d -> operators.put(d.name(), d.operator()));
+        file.doors.forEach(d -> sites.put(d.name(), d.site()));
         journal.event("trial", "about", file.about, "period_us", file.periodMs * 1_000L, "lease_us", file.leaseMs * 1_000L, "seed", seed,
-                "doors", operators, "founders", file.founders, "rate", file.rate, "burst", file.burst, "deadline_us",
+                "doors", operators, "sites", sites, "founders", file.founders, "rate", file.rate, "burst", file.burst, "deadline_us",
                 file.deadlineMs * 1_000L, "tiers", tiers);
+        for (Door door : file.doors) {
+            neighbours.get(door.operator()).discoveryFor(door.name(), door.site());
+        }
         distances("", 1);
         long begin = Journal.nowUs();
         boolean loaded = false;
@@ -180,6 +187,14 @@
             case "heal" -> {
                 sky.clear();
                 distances("", 1);
+                for (Door d : file.doors) {
+                    neighbours.get(d.operator()).lost(d.site(), false);
+                }
+            }
+            case "lose_site" -> {
+                for (Neighbours n : neighbours.values()) {
+                    n.lost(step.text("site", ""), true);
+                }
             }
             case "slow_site" -> distances(step.text("site", ""), step.number("times", 1));
             case "release" -> each(from, to, true, w -> {
@@ -212,6 +227,9 @@
             for (Door b : file.doors) {
                 double ms = file.delaysMs.getOrDefault(a.site() + "-" + b.site(), file.delaysMs.getOrDefault(b.site() + "-" + a.site(), 0.0));
                 ms *= !a.site().equals(b.site()) && (a.site().equals(slow) || b.site().equals(slow)) ? times : 1;
+                for (Neighbours n : neighbours.values()) {
+                    n.distance(a.site(), b.site(), (long) (1_000 * ms));
+                }
                 if (a != b) {
                     sky.between(a.answersTo(), b.answersTo()).delayUs = (long) (1_000 * ms);
                 }
@@ -265,7 +283,7 @@
                 + d.site() + "\nname: " + d.answersTo() + "\nlisten: 127.0.0.1:" + fleetPorts.get(door) + "\nadvertise: 127.0.0.1:"
                 + relays.get(door).port() + "\nseeds: [" + String.join(", ", seeds) + "]\nfounders: [" + String.join(", ", file.founders)
                 + "]\nstore: " + folder.resolve("store") + "\nlog: " + out.resolve(door + ".jsonl") + "\nprobe_period_ms: " + file.periodMs
-                + "\nlease_ms: " + file.leaseMs + "\n");
+                + "\nlease_ms: " + file.leaseMs + "\nplacement: " + file.placement + "\n");
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         List<String> command = new ArrayList<>(List.of(java, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m", "-Xss512k"));
         if (d.planted().isEmpty()) {
@@ -297,7 +315,7 @@
         settings.put("NInstances", tier.size());
         settings.put("Ordinal", tier.indexOf(d.name()));
         settings.put("TickUs", 1_000);
-        settings.put("Azs", List.of("here"));
+        settings.put("Azs", new ArrayList<>(new TreeSet<>(file.doors.stream().map(Door::site).toList())));
         settings.put("Flavors", List.of("any"));
         settings.put("Weights", "none");
         settings.put("RegistryMode", "push");
@@ -314,7 +332,7 @@
         Map<String, Object> config = new LinkedHashMap<>();
         config.put("name", d.name());
         config.put("listen", "127.0.0.1:" + clientPorts.get(d.name()));
-        config.put("discovery", "127.0.0.1:" + near.discoveryPort());
+        config.put("discovery", "127.0.0.1:" + near.discoveryFor(d.name(), d.site()));
         config.put("counter", "127.0.0.1:" + near.counterFor(d.name()));
         config.put("peers", List.of());
         config.put("seed", Long.toHexString(seed * 1_000 + starts.getOrDefault(d.name(), 0) * 100 + tier.indexOf(d.name()) + 1));
--- a/src/rig/java/hopdrum/rig/trial/TrialFile.java
+++ b/src/rig/java/hopdrum/rig/trial/TrialFile.java
@@ -33,13 +33,13 @@
     }
 
     private static final Set<String> TOP = Set.of("about", "probe_period_ms", "lease_ms", "doors", "founders", "load", "steps", "random",
-            "length_s", "backends", "work_ms", "delays_ms");
+            "length_s", "backends", "work_ms", "slots", "placement", "delays_ms");
     private static final Set<String> DOOR = Set.of("name", "operator", "site", "answers_to", "planted");
     private static final Set<String> LOAD = Set.of("rpcs_a_second", "customers", "rate", "burst", "deadline_ms");
     private static final Set<String> RANDOM = Set.of("from_s", "to_s", "every_s", "of", "most_down", "hold_s");
     private static final Set<String> STEPS = Set.of("start", "kill", "term", "pause", "wake", "cut", "cut_both", "heal", "delay", "lose",
             "duplicate", "hold", "release", "trickle", "reset", "counter", "expect_settled", "expect_same_view", "expect_cut_off",
-            "expect_refused", "expect_unchanged", "expect_not_dropped", "expect_answered", "slow_site", "expect_map");
+            "expect_refused", "expect_unchanged", "expect_not_dropped", "expect_answered", "slow_site", "expect_map", "lose_site", "expect_in_time");
     private static final Set<String> MORE = Set.of("from", "to", "store", "ms", "percent", "bytes_a_second", "is", "within_s", "for_s",
             "share", "times", "site", "error");
 
@@ -48,6 +48,8 @@
     final int leaseMs;
     final int backends;
     final int workMs;
+    final int slots;
+    final String placement;
     final double rpcsASecond;
     final int customers;
     final double rate;
@@ -73,6 +75,8 @@
         leaseMs = (int) number(all, "lease_ms", 1_500);
         backends = (int) number(all, "backends", 4);
         workMs = (int) number(all, "work_ms", 5);
+        slots = (int) number(all, "slots", 0);
+        placement = text(all, "placement", "map");
         lengthMs = (long) (1_000 * number(all, "length_s", 20));
         Map<?, ?> load = all.get("load") instanceof Map<?, ?> m ? m : Map.of();
         known("load", load, LOAD);
--- a/src/test/java/hopdrum/policy/FakeHost.java
+++ b/src/test/java/hopdrum/policy/FakeHost.java
@@ -1,5 +1,6 @@
 package hopdrum.policy;
 
+import hopdrum.host.Distances;
 import hopdrum.host.Host;
 import hopdrum.host.Listed;
 import hopdrum.host.Method;
@@ -22,6 +23,7 @@
     long clockUs = 90_000_000;
     Policy policy;
     Sharers sharers;         // null: no fleet
+    Distances distances;     // null: no map
     private long wakeUs = Long.MAX_VALUE;
     private long lastId;
 
@@ -89,6 +91,11 @@
         return asked.stream().filter(a -> a.startsWith(what)).toList();
     }
 
+    @Override
+    public Distances distances() {
+        return distances;
+    }
+
     @Override
     public Sharers sharers() {
         return sharers;
