--- a/src/rig/java/hopdrum/rig/trial/Trial.java
+++ b/src/rig/java/hopdrum/rig/trial/Trial.java
@@ -138,7 +138,7 @@
             take(step);
             if (!loaded && step.what().equals("expect_settled") && file.rpcsASecond > 0) {
                 loaded = true; // clients come once the first view is expected
-                clients = new Clients(journal, clientPorts, new ArrayList<>(tiers.values()), file.rpcsASecond, file.customers,
+                clients = new Clients(journal, clientPorts, new ArrayList<>(tiers.values()), file.entries, file.rpcsASecond, file.customers,
                         file.deadlineMs, seed);
                 long delay = (long) (1_000 * step.number("within_s", 0));
                 Threads.start("load", () -> {
--- a/src/rig/java/hopdrum/rig/trial/TrialFile.java
+++ b/src/rig/java/hopdrum/rig/trial/TrialFile.java
@@ -35,7 +35,7 @@
     private static final Set<String> TOP = Set.of("about", "probe_period_ms", "lease_ms", "doors", "founders", "load", "steps", "random",
             "length_s", "backends", "work_ms", "slots", "placement", "delays_ms");
     private static final Set<String> DOOR = Set.of("name", "operator", "site", "answers_to", "planted");
-    private static final Set<String> LOAD = Set.of("rpcs_a_second", "customers", "rate", "burst", "deadline_ms");
+    private static final Set<String> LOAD = Set.of("rpcs_a_second", "customers", "rate", "burst", "deadline_ms", "doors");
     private static final Set<String> RANDOM = Set.of("from_s", "to_s", "every_s", "of", "most_down", "hold_s");
     private static final Set<String> STEPS = Set.of("start", "kill", "term", "pause", "wake", "cut", "cut_both", "heal", "delay", "lose",
             "duplicate", "hold", "release", "trickle", "reset", "counter", "expect_settled", "expect_same_view", "expect_cut_off",
@@ -55,6 +55,7 @@
     final double rate;
     final double burst;
     final int deadlineMs;
+    final List<String> entries; // the doors that clients come to
     final long lengthMs;
     final List<Door> doors = new ArrayList<>();
     final Map<String, Double> delaysMs = new LinkedHashMap<>(); // one way, by "site-site"
@@ -104,6 +105,7 @@
         }
         founders = list(all, "founders").stream().map(String::valueOf).toList();
         Set<String> names = new HashSet<>(doors.stream().map(Door::name).toList());
+        entries = load.get("doors") == null ? doors.stream().map(Door::name).toList() : names(load.get("doors"), names);
         for (Object o : list(all, "steps")) {
             step(o, names);
         }
