--- a/src/rig/java/hopdrum/rig/check/Checker.java
+++ b/src/rig/java/hopdrum/rig/check/Checker.java
@@ -54,7 +54,7 @@
     public Checker(Path folder) throws IOException {
         rig = lines(folder.resolve("rig.jsonl"));
         trial = rig.stream().filter(l -> is(l, "trial")).findFirst().orElseThrow(() -> new IOException("no trial in " + folder));
-        beginUs = at(trial);
+        beginUs = rig.stream().filter(l -> is(l, "begin")).mapToLong(Checker::at).findFirst().orElse(at(trial));
         endUs = rig.stream().filter(l -> is(l, "end")).mapToLong(Checker::at).findFirst().orElse(Long.MAX_VALUE);
         List<String> names = new ArrayList<>();
         trial.path("doors").fieldNames().forEachRemaining(names::add);
--- a/src/rig/java/hopdrum/rig/trial/Relay.java
+++ b/src/rig/java/hopdrum/rig/trial/Relay.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -44,7 +45,15 @@
             return all.computeIfAbsent(from + ">" + to, k -> new Weather());
         }
 
+        private final Map<String, Double> liars = new ConcurrentHashMap<>();
+
+        /** From now on what this one says it has measured is so many times what it says. */
+        void lies(String who, double times) {
+            liars.put(who, times);
+        }
+
         void clear() {
+            liars.clear();
             for (Weather w : all.values()) {
                 w.cut = false;
                 w.held = false;
@@ -109,6 +118,25 @@
         return bytes;
     }
 
+    /** A frame as its sender says it, or, of one that lies, with its own readings changed. */
+    private byte[] said(String who, byte[] frame) throws IOException {
+        Double times = who == null ? null : sky.liars.get(who);
+        if (times == null) {
+            return frame;
+        }
+        JsonNode message = CBOR.readTree(frame, 4, frame.length - 4);
+        if (!message.path("is").asText().equals("latency")) {
+            return frame;
+        }
+        for (JsonNode reading : message.path("readings")) {
+            if (reading.path("observer").asText().equals(who)) {
+                ((ObjectNode) reading).put("rttUs", Math.max(1, (long) (reading.path("rttUs").asLong() * times)));
+            }
+        }
+        byte[] body = CBOR.writeValueAsBytes(message);
+        return java.nio.ByteBuffer.allocate(body.length + 4).putInt(body.length).put(body).array();
+    }
+
     private void serve(Socket from) {
         Socket to = new Socket();
         open.add(to);
@@ -130,8 +158,8 @@
             to.setTcpNoDelay(true);
             from.setTcpNoDelay(true);
             DataInputStream answers = new DataInputStream(new java.io.BufferedInputStream(to.getInputStream()));
-            Thread other = Threads.start("relay-back", () -> pump(answers, from, to, back, null));
-            pump(in, to, from, there, hello);
+            Thread other = Threads.start("relay-back", () -> pump(answers, from, to, back, null, null));
+            pump(in, to, from, there, hello, who);
             other.join(1_000);
         } catch (IOException e) {
             // one side has ended: so does the other
@@ -144,7 +172,7 @@
         }
     }
 
-    private void pump(DataInputStream in, Socket to, Socket from, Weather weather, byte[] first) {
+    private void pump(DataInputStream in, Socket to, Socket from, Weather weather, byte[] first, String who) {
         LinkedBlockingQueue<Frame> queue = new LinkedBlockingQueue<>(MOST_QUEUED);
         Thread writer = Threads.start("relay-out", () -> write(queue, to, weather));
         try {
@@ -153,7 +181,7 @@
             }
             boolean hello = first == null;
             while (true) {
-                byte[] bytes = frame(in);
+                byte[] bytes = said(who, frame(in));
                 boolean mustPass = hello; // the answer to the hello
                 hello = false;
                 if (weather.cut || !mustPass && chance() < weather.loss) {
--- a/src/rig/java/hopdrum/rig/trial/Trial.java
+++ b/src/rig/java/hopdrum/rig/trial/Trial.java
@@ -27,6 +27,7 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int LEAST_PORT = 12_000;
     private static final int PORTS = 20_000;
+    private static final long MOST_WARM_US = 60_000_000;
     private static final int MOST_TERM_MS = 6_000;
 
     private final TrialFile file;
@@ -127,7 +128,12 @@
             neighbours.get(door.operator()).discoveryFor(door.name(), door.site());
         }
         distances("", 1);
+        for (String door : file.warm) {
+            start(door, "kept");
+        }
+        awaitSettled(file.warm);
         long begin = Journal.nowUs();
+        journal.event("begin");
         boolean loaded = false;
         for (Step step : file.steps) {
             long inUs = begin + step.atMs() * 1_000 - Journal.nowUs();
@@ -191,6 +197,7 @@
                     neighbours.get(d.operator()).lost(d.site(), false);
                 }
             }
+            case "lie" -> step.who().forEach(door -> sky.lies(answersTo(door), step.number("times", 1)));
             case "lose_site" -> {
                 for (Neighbours n : neighbours.values()) {
                     n.lost(step.text("site", ""), true);
@@ -220,6 +227,18 @@
         }
     }
 
+    /** Guards verdicts against a machine that is slow to start processes: time begins once these are all in one view. */
+    private void awaitSettled(List<String> doors) throws IOException, InterruptedException {
+        long endUs = Journal.nowUs() + MOST_WARM_US;
+        for (String door : doors) {
+            Path log = out.resolve(door + ".jsonl");
+            while (Journal.nowUs() < endUs && !(Files.exists(log) && Files.readAllLines(log).stream().anyMatch(line -> line.contains("\"event\":\"view\"")
+                    && doors.stream().allMatch(d -> line.contains("\"" + answersTo(d) + "\":"))))) {
+                Thread.sleep(20);
+            }
+        }
+    }
+
     /** The delay between each two doors by their sites; the ways of one site may be so many times longer. */
     private void distances(String slow, double times) {
         Map<String, Double> truth = new LinkedHashMap<>();
