--- a/src/rig/java/hopdrum/rig/trial/HttpStandIn.java
+++ b/src/rig/java/hopdrum/rig/trial/HttpStandIn.java
@@ -90,13 +90,7 @@
     }
 
     void reset() {
-        for (Socket socket : open) {
-            try {
-                socket.close();
-            } catch (IOException e) {
-                // gone either way
-            }
-        }
+        open.forEach(Quiet::close);
     }
 
     @Override
--- a/src/rig/java/hopdrum/rig/trial/Relay.java
+++ b/src/rig/java/hopdrum/rig/trial/Relay.java
@@ -194,8 +194,8 @@
             }
         } catch (IOException e) {
             writer.interrupt();
-            close(to);
-            close(from);
+            Quiet.close(to);
+            Quiet.close(from);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -221,7 +221,7 @@
                 }
             }
         } catch (IOException e) {
-            close(socket);
+            Quiet.close(socket);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -236,22 +236,14 @@
                 } catch (IOException x) {
                     // it has ended by itself
                 }
-                close(e.getKey());
+                Quiet.close(e.getKey());
             }
         }
     }
 
-    private static void close(Socket socket) {
-        try {
-            socket.close();
-        } catch (IOException e) {
-            // gone either way
-        }
-    }
-
     @Override
     public void close() throws IOException {
         listener.close();
-        open.forEach(Relay::close);
+        open.forEach(Quiet::close);
     }
 }
--- a/src/rig/java/hopdrum/rig/trial/Way.java
+++ b/src/rig/java/hopdrum/rig/trial/Way.java
@@ -53,7 +53,7 @@
     void lost(boolean now) {
         lost = now;
         if (!now) {
-            open.forEach(Way::close);
+            open.forEach(Quiet::close);
         }
     }
 
@@ -88,7 +88,7 @@
             queue.put(new Piece(new byte[0], Journal.nowUs())); // the end takes as long as the rest
             writer.join(2_000);
         } catch (IOException e) {
-            close(to);
+            Quiet.close(to);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -107,25 +107,17 @@
                     out.write(p.bytes);
                 }
             }
-            close(to);
+            Quiet.close(to);
         } catch (IOException e) {
-            close(to);
+            Quiet.close(to);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private static void close(Socket socket) {
-        try {
-            socket.close();
-        } catch (IOException e) {
-            // gone either way
-        }
-    }
-
     @Override
     public void close() throws IOException {
         listener.close();
-        open.forEach(Way::close);
+        open.forEach(Quiet::close);
     }
 }
