--- a/src/main/java/hopdrum/fleet/Fleet.java
+++ b/src/main/java/hopdrum/fleet/Fleet.java
@@ -53,7 +53,7 @@
 
     private final class Ears implements Links.Owner {
         @Override
-        public String refuses(Message.Hello hello) {
+        public String objection(Message.Hello hello) {
             if (!hello.fleet().equals(file.fleet())) {
                 return "another fleet";
             }
@@ -78,12 +78,7 @@
         }
 
         @Override
-        public void answered(String address, Member who) {
-            // what is believed of it comes with its answers to pings
-        }
-
-        @Override
-        public void refused(String address, String why) {
+        public void turnedDown(String address, String why) {
             log.limited("refused_by", address + ": " + why);
         }
     }
--- a/src/main/java/hopdrum/fleet/link/Links.java
+++ b/src/main/java/hopdrum/fleet/link/Links.java
@@ -24,16 +24,13 @@
     /** Who is told what peers say. */
     public interface Owner {
         /** Null if the peer may speak, else why not. */
-        String refuses(Message.Hello hello);
+        String objection(Message.Hello hello);
 
         /** From one whose hello was taken. */
         void heard(Member from, Message message);
 
-        /** Somebody answers at this address. */
-        void answered(String address, Member who);
-
         /** The peer at this address does not take us, and says why. */
-        void refused(String address, String why);
+        void turnedDown(String address, String why);
     }
 
     private static final int MOST_INBOUND = 2_000;
@@ -133,8 +130,8 @@
             if (!(Frames.read(socket, from, HELLO_MS) instanceof Message.Hello theirs)) {
                 throw new IOException("no hello");
             }
-            String why = theirs.version() != Message.VERSION ? "version " + theirs.version() : owner.refuses(theirs);
-            Frames.write(socket.getOutputStream(), why == null ? hello : new Message.Refused(why));
+            String why = theirs.version() != Message.VERSION ? "version " + theirs.version() : owner.objection(theirs);
+            Frames.write(socket.getOutputStream(), why == null ? hello : new Message.TurnedDown(why));
             if (why != null) {
                 throw new IOException(why + ", " + theirs.who().name() + " of " + theirs.fleet());
             }
--- a/src/main/java/hopdrum/fleet/link/PeerLink.java
+++ b/src/main/java/hopdrum/fleet/link/PeerLink.java
@@ -132,13 +132,12 @@
         fresh.setTcpNoDelay(true);
         write(links.hello());
         Message answer = Frames.read(fresh, new BufferedInputStream(fresh.getInputStream(), 1 << 10), CONNECT_MS);
-        if (answer instanceof Message.Hello theirs && theirs.version() == Message.VERSION
-                && theirs.fleet().equals(links.hello().fleet())) {
-            links.owner().answered(address, theirs.who());
-        } else if (answer instanceof Message.Refused refused) {
-            links.owner().refused(address, refused.why());
-            throw new IOException("refused: " + refused.why());
-        } else {
+        if (answer instanceof Message.TurnedDown down) {
+            links.owner().turnedDown(address, down.why());
+            throw new IOException("turned down: " + down.why());
+        }
+        if (!(answer instanceof Message.Hello theirs) || theirs.version() != Message.VERSION
+                || !theirs.fleet().equals(links.hello().fleet())) {
             throw new IOException("no hello of this fleet");
         }
     }
--- a/src/main/java/hopdrum/fleet/message/Message.java
+++ b/src/main/java/hopdrum/fleet/message/Message.java
@@ -7,7 +7,7 @@
 
 /** One message between members. Making one throws IllegalArgumentException where a figure cannot be. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "is")
-@JsonSubTypes({@Type(value = Message.Hello.class, name = "hello"), @Type(value = Message.Refused.class, name = "refused"),
+@JsonSubTypes({@Type(value = Message.Hello.class, name = "hello"), @Type(value = Message.TurnedDown.class, name = "turneddown"),
     @Type(value = Message.Ping.class, name = "ping"), @Type(value = Message.Ack.class, name = "ack"),
     @Type(value = Message.PingFor.class, name = "pingfor"), @Type(value = Message.Nack.class, name = "nack"),
     @Type(value = Message.Exchange.class, name = "exchange"), @Type(value = Message.NameTaken.class, name = "taken"),
@@ -38,7 +38,7 @@
     }
 
     /** Instead of a hello, and the connection's last. */
-    record Refused(String why) implements Message {
+    record TurnedDown(String why) implements Message {
     }
 
     // ---- Reachability ----
--- a/src/main/java/hopdrum/fleet/view/Membership.java
+++ b/src/main/java/hopdrum/fleet/view/Membership.java
@@ -15,7 +15,7 @@
  */
 public final class Membership {
     private static final int LATENCY_PEERS = 3;
-    private static final int REFUSED_PERIODS = 20; // before one whose name is taken tries again
+    private static final int OUT_PERIODS = 20; // before one whose name is taken tries again
 
     private final Member self;
     private final Timing timing;
@@ -27,7 +27,7 @@
     private final Out out;
     private long nextLatencyUs;
     private long tickedUs;
-    private long refusedUntilUs = Long.MIN_VALUE / 2;
+    private long outUntilUs = Long.MIN_VALUE / 2;
     private boolean left;
 
     public Membership(Member self, List<String> seeds, List<String> founders, Kept kept, Timing timing,
@@ -56,7 +56,7 @@
 
     /** Its name is another's, or it has left: it acts on nothing. */
     public boolean isOut(long nowUs) {
-        return left || council.isSuperseded() || nowUs < refusedUntilUs;
+        return left || council.isSuperseded() || nowUs < outUntilUs;
     }
 
     public void tick(long nowUs) {
@@ -155,8 +155,8 @@
     /** One that was settled on is told so by no other: it is the other that must go. */
     private void taken(Message.NameTaken said, long nowUs) {
         if (said.holder().name().equals(self.name()) && !said.holder().is(self) && !council.view().has(self)) {
-            refusedUntilUs = nowUs + REFUSED_PERIODS * timing.periodUs() / 2
-                    + random.nextLong(REFUSED_PERIODS * timing.periodUs());
+            outUntilUs = nowUs + OUT_PERIODS * timing.periodUs() / 2
+                    + random.nextLong(OUT_PERIODS * timing.periodUs());
             log.event("refused", "why", "the name is another's", "its_start", said.holder().start(),
                     "at_address", said.holder().address());
         }
--- a/src/test/java/hopdrum/fleet/BadInputTest.java
+++ b/src/test/java/hopdrum/fleet/BadInputTest.java
@@ -138,7 +138,7 @@
                     new Message.Hello(2, "demo", ONE))) {
                 try (Socket socket = new Socket("127.0.0.1", port)) {
                     say(socket, hello);
-                    assertThat(hears(socket)).isInstanceOf(Message.Refused.class);
+                    assertThat(hears(socket)).isInstanceOf(Message.TurnedDown.class);
                     assertThat(socket.getInputStream().read()).isNegative();
                 }
             }
