Votes are kept beside the member's lock; SIGTERM before listening is a success; map, in_time planted

Votes: Council.keep forced each vote to disk under the lock under which pings are answered, so a disk that takes two periods made its member look slow. A thread of its own now writes, in order, and the vote is given once it is kept; the start is bound by it from the first moment. The swarm's disks take time and lose what was not written with a kill; the property over random schedules draws slow disks too.

A start that fails while told to end no longer waits for itself.

Checker: planted faults for map and in_time, so each rule has one. The rig logs its own lateness.

--- a/src/main/java/hopdrum/fleet/Fleet.java
+++ b/src/main/java/hopdrum/fleet/Fleet.java
@@ -20,6 +20,8 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Supplier;
 
 /**
@@ -42,6 +44,8 @@
     private final Membership membership; // under this object's lock
     private final long loopOffsetUs;
     private final Thread ticker;
+    private final Thread keeper;
+    private final BlockingQueue<Vote> votes = new LinkedBlockingQueue<>(); // a few for each view; emptied by the keeper
     private volatile Sharers sharers = new Sharers(Long.MIN_VALUE / 2, List.of());
     private volatile Distances distances;          // null: not to be gone by
     private List<String> zones = List.of();
@@ -51,6 +55,10 @@
     private long statusUs;
     private long mapUs;
 
+    /** What is to be kept, and what is done then. */
+    private record Vote(Store.Kept kept, Runnable then) {
+    }
+
     private final class Ears implements Links.Owner {
         @Override
         public String objection(Message.Hello hello) {
@@ -106,9 +114,11 @@
                     Integer.parseInt(file.listen().substring(colon + 1))), new Message.Hello(Message.VERSION, file.fleet(), self),
                     random.split(), new Ears(), log);
             membership = new Membership(self, file.seeds(), file.founders(), kept, file.timing(), random.split(), links::send,
-                    store::write, log::event, nowUs());
+                    this::keep, log::event, nowUs());
             ticker = new Thread(null, this::keepTime, "fleet-view", 256 << 10);
             ticker.setDaemon(true);
+            keeper = new Thread(null, this::keepVotes, "fleet-store", 256 << 10);
+            keeper.setDaemon(true);
         } catch (IOException | RuntimeException e) {
             store.close();
             throw e;
@@ -126,6 +136,7 @@
         Fleet fleet = new Fleet(file, gateway, seed, loopOffsetUs);
         fleet.links.start();
         fleet.ticker.start();
+        fleet.keeper.start();
         return fleet;
     }
 
@@ -191,6 +202,29 @@
         }
     }
 
+    private void keep(Store.Kept kept, Runnable then) {
+        votes.add(new Vote(kept, then));
+    }
+
+    /** Forces votes to disk, one after another, while all else goes on. What cannot be kept is not given. */
+    private void keepVotes() {
+        while (!closed) {
+            try {
+                Vote vote = votes.take();
+                store.write(vote.kept);
+                synchronized (this) {
+                    if (!closed) {
+                        membership.council().kept(vote.then, nowUs());
+                    }
+                }
+            } catch (IOException e) {
+                log.limited("store_failed", String.valueOf(e.getMessage()));
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
     private static void pause(long ms) {
         try {
             Thread.sleep(Math.max(1, ms));
@@ -266,6 +300,12 @@
         closed = true;
         ticker.interrupt();
         links.close();
+        keeper.interrupt();
+        try {
+            keeper.join(); // the store is not closed under a write
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         store.close();
         log.event("ended");
         log.close();
--- a/src/main/java/hopdrum/fleet/view/Council.java
+++ b/src/main/java/hopdrum/fleet/view/Council.java
@@ -7,7 +7,6 @@
 import hopdrum.fleet.message.Rumour.State;
 import hopdrum.fleet.message.View;
 import hopdrum.fleet.store.Store.Kept;
-import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -27,13 +26,15 @@
  * others 2018). A vote is kept before it is given. Not thread-safe. Times are microseconds of one monotonic clock.
  */
 public final class Council {
-    /** Keeps what must outlast a restart; an IOException means that the vote must not be given. */
+    /** Keeps what must outlast a restart, in the order given; what is to be done then is done once it is kept, or never. */
     public interface Keeper {
-        void write(Kept kept) throws IOException;
+        void write(Kept kept, Runnable then);
     }
 
     private static final int STILL_PERIODS = 1;      // before a change is proposed
     private static final int BATCH_PERIODS = 6;      // the longest that a change waits for suspicions to be decided
+    private static final int LEAST_PATIENCE = 2;     // periods that a proposal waits for votes; twice as many after each that failed
+    private static final int MOST_PATIENCE = 32;
     private static final long NOTHING = Long.MIN_VALUE / 2;
 
     /** One try to settle the view after the present one. */
@@ -63,6 +64,7 @@
     private View accepted;
     private long highestRound;
     private Proposal proposal;
+    private int patience = LEAST_PATIENCE;
     private long notBeforeUs;       // after a try that came to nothing
     private List<Member> wanted;    // as last seen, and since when
     private long wantedSinceUs;
@@ -149,6 +151,7 @@
         if (proposal != null && nowUs >= proposal.untilUs) {
             log.event("proposal_failed", "ballot", proposal.ballot.round(), "promised", proposal.promised.size(),
                     "accepted", proposal.accepted.size(), "needed", quorum());
+            patience = Math.min(MOST_PATIENCE, 2 * patience); // a voter's disk may be slow
             backOff(nowUs);
         }
         if (!superseded && isVoter()) {
@@ -247,7 +250,7 @@
         proposal = new Proposal();
         proposal.ballot = new Ballot(++highestRound, self.name());
         proposal.value = value;
-        proposal.untilUs = nowUs + 2 * timing.periodUs();
+        proposal.untilUs = nowUs + patience * timing.periodUs();
         log.event("proposes", "era", value.era(), "number", value.number(), "ballot", proposal.ballot.round(),
                 "members", names(value));
         toAll(voters(), new Message.Prepare(view.era(), view.number(), proposal.ballot));
@@ -271,7 +274,7 @@
         }
         if (p.promised.size() >= quorum()) {
             p.accepting = true;
-            p.untilUs = nowUs + 2 * timing.periodUs();
+            p.untilUs = nowUs + patience * timing.periodUs();
             toAll(voters(), new Message.Accept(view.era(), view.number(), p.ballot, p.value));
         }
         drain(nowUs);
@@ -334,9 +337,10 @@
         if (votesOn(from, prepare.era(), prepare.number())) {
             if (prepare.ballot().compareTo(promised) < 0) {
                 reply(from, new Message.Overruled(prepare.era(), prepare.number(), promised));
-            } else if (keep(prepare.ballot(), acceptedIn, accepted)) {
-                highestRound = Math.max(highestRound, promised.round());
-                reply(from, new Message.Promise(prepare.era(), prepare.number(), prepare.ballot(), acceptedIn, accepted));
+            } else {
+                highestRound = Math.max(highestRound, prepare.ballot().round());
+                Message promise = new Message.Promise(prepare.era(), prepare.number(), prepare.ballot(), acceptedIn, accepted);
+                keep(prepare.ballot(), acceptedIn, accepted, () -> reply(from, promise));
             }
         }
         drain(nowUs);
@@ -346,27 +350,33 @@
         if (votesOn(from, accept.era(), accept.number())) {
             if (accept.ballot().compareTo(promised) < 0) {
                 reply(from, new Message.Overruled(accept.era(), accept.number(), promised));
-            } else if (keep(accept.ballot(), accept.ballot(), accept.view())) {
-                log.event("accepted", "era", accepted.era(), "number", accepted.number(), "ballot", promised.round(),
-                        "proposer", promised.proposer(), "members", names(accepted), "voter", self.voter());
-                reply(from, new Message.Accepted(accept.era(), accept.number(), accept.ballot()));
+            } else {
+                View of = accept.view();
+                keep(accept.ballot(), accept.ballot(), of, () -> {
+                    log.event("accepted", "era", of.era(), "number", of.number(), "ballot", accept.ballot().round(),
+                            "proposer", accept.ballot().proposer(), "members", names(of), "voter", self.voter());
+                    reply(from, new Message.Accepted(accept.era(), accept.number(), accept.ballot()));
+                });
             }
         }
         drain(nowUs);
     }
 
-    /** Guards against a vote that is forgotten with a restart: what cannot be kept is not given. */
-    private boolean keep(Ballot newPromised, Ballot newAcceptedIn, View newAccepted) {
-        try {
-            keeper.write(new Kept(self.voter(), self.start(), view, newPromised, newAcceptedIn, newAccepted));
-        } catch (IOException e) {
-            log.event("store_failed", "why", String.valueOf(e.getMessage()));
-            return false;
-        }
+    /**
+     * Guards against a vote that is forgotten with a restart: it is given once it is kept. Until then this start is bound
+     * by it already, and goes on with all else: a slow disk makes no slow member.
+     */
+    private void keep(Ballot newPromised, Ballot newAcceptedIn, View newAccepted, Runnable then) {
         promised = newPromised;
         acceptedIn = newAcceptedIn;
         accepted = newAccepted;
-        return true;
+        keeper.write(new Kept(self.voter(), self.start(), view, promised, acceptedIn, accepted), then);
+    }
+
+    /** Goes on with what waited for a write of this member's own: its own vote may be the one that was missing. */
+    public void kept(Runnable then, long nowUs) {
+        then.run();
+        drain(nowUs);
     }
 
     // ---- Settled ----
@@ -408,15 +418,12 @@
         boolean follows = next && settled.number() == view.number() + 1;
         View before = view;
         view = settled;
-        if (!keep(Ballot.NONE, null, null)) { // nothing is promised by it: a start that has forgotten it asks again
-            promised = Ballot.NONE;
-            acceptedIn = null;
-            accepted = null;
-        }
+        keep(Ballot.NONE, null, null, () -> { }); // nothing is promised by it: a start that has forgotten it asks again
         proposal = null;
         wanted = null;
         changeSinceUs = NOTHING;
         highestRound = 0;
+        patience = LEAST_PATIENCE;
         logView(how);
         if (otherEra && before.era() > 0) {
             log.event("another_era", "before", before.era(), "now", view.era());
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
@@ -56,13 +56,75 @@
 
     /** The same with something beside. */
     public static int serve(String configFile, Besides besides) {
-        return run(configFile, "serve", (config, loop, door) -> {
+        Ending ending = new Ending();
+        int code = run(configFile, "serve", (config, loop, door) -> {
+            ending.serves(loop, door);
             Beside beside = besides.start(config, loop, door);
-            Thread loopThread = Thread.currentThread();
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> end(loop, door, beside, loopThread), "on-sigterm"));
+            ending.has(beside);
             LOG.info("serving as " + config.name(), config.listen());
             return beside;
         });
+        if (code != 0) {
+            ending.isMoot();
+        }
+        return code;
+    }
+
+    /**
+     * SIGTERM, handled from the start on: a process that is told to end before it listens ends at once, as a success;
+     * later it ends once its loop has.
+     */
+    private static final class Ending {
+        private final Thread starter = Thread.currentThread();
+        private final Thread hook = new Thread(this::told, "on-sigterm");
+        private Loop loop;
+        private FrontDoor door;
+        private Beside beside;
+        private boolean told;
+
+        Ending() {
+            Runtime.getRuntime().addShutdownHook(hook);
+        }
+
+        synchronized void serves(Loop ofLoop, FrontDoor ofDoor) {
+            loop = ofLoop;
+            door = ofDoor;
+        }
+
+        synchronized void has(Beside ofBeside) {
+            beside = ofBeside;
+            if (told && beside != null) {
+                beside.stopping();
+            }
+        }
+
+        /** The start has failed: leaving is no success. */
+        void isMoot() {
+            try {
+                Runtime.getRuntime().removeShutdownHook(hook);
+            } catch (IllegalStateException e) {
+                Runtime.getRuntime().halt(1); // told to end meanwhile: that waits for this thread, and an exit for that
+            }
+        }
+
+        private void told() {
+            synchronized (this) {
+                told = true;
+                if (door == null) {
+                    Runtime.getRuntime().halt(0);
+                }
+                loop.ask(door::stop);
+                if (beside != null) {
+                    beside.stopping();
+                }
+            }
+            try {
+                starter.join();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            Runtime.getRuntime().halt(exitCode);
+        }
     }
 
     /**
@@ -155,18 +217,4 @@
             return null;
         }
     }
-
-    /** Runs as the process is told to end: it ends once the loop has, and then as a success. */
-    private static void end(Loop loop, FrontDoor door, Beside beside, Thread loopThread) {
-        loop.ask(door::stop);
-        if (beside != null) {
-            beside.stopping();
-        }
-        try {
-            loopThread.join();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        Runtime.getRuntime().halt(exitCode);
-    }
 }
--- a/src/rig/java/hopdrum/rig/check/Checker.java
+++ b/src/rig/java/hopdrum/rig/check/Checker.java
@@ -72,6 +72,16 @@
         quotas();
         ranOnce();
         expectations();
+        lateness();
+    }
+
+    /** No rule: how late the rig itself was, so that a slow machine is not taken for a slow program. */
+    private void lateness() {
+        long[] worst = rig.stream().filter(l -> is(l, "late")).mapToLong(l -> l.path("us").asLong()).sorted().toArray();
+        if (worst.length > 0) {
+            measured.add(String.format(java.util.Locale.ROOT, "the rig's own lateness, worst of each second: median %.1f ms, worst %.1f ms",
+                    worst[worst.length / 2] / 1e3, worst[worst.length - 1] / 1e3));
+        }
     }
 
     /** A last line that was cut off with its process is no fault. */
--- a/src/rig/java/hopdrum/rig/swarm/Swarm.java
+++ b/src/rig/java/hopdrum/rig/swarm/Swarm.java
@@ -8,8 +8,10 @@
 import hopdrum.fleet.store.Store.Kept;
 import hopdrum.fleet.view.Council;
 import hopdrum.fleet.view.Membership;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,6 +20,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.ToLongFunction;
 
 /**
  * Many members in virtual time, in one thread: the product's membership on a network of messages that are delayed, lost
@@ -61,6 +64,10 @@
         }
     }
 
+    /** A write on its way to a disk. */
+    private record Write(long atUs, Node node, Membership of, Kept kept, Runnable then) {
+    }
+
     private record Flight(long atUs, long order, String from, String to, byte[] bytes, Member sender, long senderStart) {
     }
 
@@ -87,6 +94,7 @@
             Comparator.comparingLong(Flight::atUs).thenComparingLong(Flight::order));
     private final Map<String, String> contentByNumber = new HashMap<>();
     private final Map<String, String> byAddress = new HashMap<>();
+    private final Deque<Write> writes = new ArrayDeque<>();
     private long order;
     private long nowUs = 1_000_000;
     private long starts = 1_000_000_000_000L;
@@ -95,6 +103,7 @@
     public Tamper tamper = (from, message) -> message;
     public Delays delays = (from, to) -> 0;
     public long delayUs = 1_000;
+    public ToLongFunction<String> diskUs = name -> 0; // how long a write takes, by member
     public Net net = (from, to) -> true;
     public final List<String> broken = new ArrayList<>();
     public final Map<String, Integer> wronglyDropped = new TreeMap<>();
@@ -143,7 +152,7 @@
         Member self = node.self;
         node.lastNumber = 0;
         node.lastEra = 0;
-        Council.Keeper keeper = k -> node.kept = k;
+        Council.Keeper keeper = (k, then) -> writes.add(new Write(nowUs + diskUs.applyAsLong(node.name), node, node.membership, k, then));
         node.kept = kept == null ? new Kept(voter, start, View.NONE, null, null, null)
                 : new Kept(voter, start, kept.view(), kept.promised(), kept.acceptedIn(), kept.accepted());
         List<String> seeds = founders.stream().limit(3).map(n -> address(nodes.get(n))).toList();
@@ -227,6 +236,7 @@
             to.nanos += System.nanoTime() - began;
             check(to);
         }
+        written();
         for (Node node : nodes.values()) {
             if (node.isUp() && node.pausedUntilUs <= nowUs && node.nextTickUs <= nowUs) {
                 node.nextTickUs = nowUs + timing.periodUs() / 10;
@@ -239,6 +249,22 @@
         claims();
     }
 
+    /** What a process had not on disk when it was killed is gone. */
+    private void written() {
+        for (int i = writes.size(); i > 0; i--) {
+            Write w = writes.poll();
+            if (w.node.membership != w.of) {
+                continue;
+            }
+            if (w.atUs > nowUs || w.node.pausedUntilUs > nowUs) {
+                writes.add(w); // of one node all take as long, so they stay in order
+                continue;
+            }
+            w.node.kept = w.kept;
+            w.of.council().kept(w.then, nowUs);
+        }
+    }
+
     // ---- The rules ----
 
     private void check(Node node) {
--- a/src/rig/java/hopdrum/rig/trial/Trial.java
+++ b/src/rig/java/hopdrum/rig/trial/Trial.java
@@ -46,6 +46,7 @@
     private final SplittableRandom ports = new SplittableRandom(System.nanoTime() ^ ProcessHandle.current().pid());
     private final Map<Integer, ServerSocket> reserved = new HashMap<>();
     private Clients clients;
+    private Thread watch;
 
     /** home is where target/ lies. */
     Trial(Path trialFile, long seed, Path out, Path home) throws IOException {
@@ -134,6 +135,7 @@
         awaitSettled(file.warm);
         long begin = Journal.nowUs();
         journal.event("begin");
+        watch = Threads.start("lateness", this::lateness);
         boolean loaded = false;
         for (Step step : file.steps) {
             long inUs = begin + step.atMs() * 1_000 - Journal.nowUs();
@@ -227,6 +229,23 @@
         }
     }
 
+    /** How late the rig's own threads wake, each second: tells a slow machine from a slow program. */
+    private void lateness() {
+        try {
+            while (true) {
+                long worst = 0;
+                for (long end = Journal.nowUs() + 1_000_000; Journal.nowUs() < end; ) {
+                    long before = Journal.nowUs();
+                    Thread.sleep(5);
+                    worst = Math.max(worst, Journal.nowUs() - before - 5_000);
+                }
+                journal.event("late", "us", worst);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Guards verdicts against a machine that is slow to start processes: time begins once these are all in one view. */
     private void awaitSettled(List<String> doors) throws IOException, InterruptedException {
         long endUs = Journal.nowUs() + MOST_WARM_US;
@@ -412,6 +431,9 @@
 
     @Override
     public void close() throws IOException {
+        if (watch != null) {
+            watch.interrupt();
+        }
         if (clients != null) {
             clients.close();
         }
--- a/src/test/java/hopdrum/fleet/SettledViewsTest.java
+++ b/src/test/java/hopdrum/fleet/SettledViewsTest.java
@@ -47,6 +47,19 @@
         assertThat(swarm.broken).isEmpty();
     }
 
+    @Test
+    void aDiskThatTakesFourPeriodsAWriteMakesNoMemberLookSlowAndItsVotesCountOnceTheyAreKept() {
+        Swarm swarm = settled(5, 3);
+        swarm.keepEvents = true;
+        swarm.diskUs = name -> name.equals("m001") ? 4 * S : 0;
+        swarm.kill(swarm.node(4));
+        assertThat(swarm.until(12 * S, swarm::isSettled)).isTrue();
+        swarm.kill(swarm.node(3)); // without the slow one there are two of four: no majority
+        assertThat(swarm.until(90 * S, swarm::isSettled)).isTrue();
+        assertThat(swarm.events).noneMatch(e -> e.contains(" m001 woke") || e.contains("member [who, m001"));
+        assertThat(swarm.broken).isEmpty();
+    }
+
     @Test
     void twoHalvesOfFourSettleNothingAndNeitherGrowsItsShare() {
         Swarm swarm = settled(4, 2);
@@ -120,6 +133,8 @@
         SplittableRandom random = new SplittableRandom(seed);
         int n = 3 + random.nextInt(5);
         Swarm swarm = new Swarm(n, Math.min(n, 3 + random.nextInt(3)), TIMING, seed);
+        long slowest = random.nextBoolean() ? 0 : random.nextLong(3 * S); // of their disks
+        swarm.diskUs = name -> slowest * Integer.parseInt(name.substring(1)) / n;
         swarm.nodes().forEach(node -> swarm.start(node, false));
         for (int i = 0; i < 60; i++) {
             Node node = swarm.node(random.nextInt(n));
--- a/src/test/java/hopdrum/rig/TrialsIT.java
+++ b/src/test/java/hopdrum/rig/TrialsIT.java
@@ -65,7 +65,7 @@
 
     @Test
     void theCheckerCatchesFrontDoorsThatBreakTheRulesOnRpcs() throws Exception {
-        assertThat(broken("doors.yaml")).contains("answer", "once", "quota", "process", "settled", "says", "share");
+        assertThat(broken("doors.yaml")).contains("answer", "once", "quota", "process", "settled", "says", "share", "in_time");
     }
 
     @Test
@@ -78,6 +78,11 @@
         assertThat(broken("views.yaml")).contains("majority", "one-view", "dropped", "unchanged");
     }
 
+    @Test
+    void theCheckerCatchesAMapThatLies() throws Exception {
+        assertThat(broken("map.yaml")).contains("map");
+    }
+
     @Test
     void theCheckerCatchesNumbersThatFall() throws Exception {
         assertThat(broken("logs.yaml")).contains("order", "start");
