--- a/src/main/java/hopdrum/FleetServer.java
+++ b/src/main/java/hopdrum/FleetServer.java
@@ -2,6 +2,8 @@
 
 import hopdrum.fleet.Fleet;
 import hopdrum.fleet.FleetFile;
+import hopdrum.fleet.TermsFile;
+import hopdrum.fleet.shards.Terms;
 import hopdrum.frontdoor.lifecycle.Server;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -13,16 +15,24 @@
 
     static int serve(String configFile, String fleetFile) {
         FleetFile file;
+        Terms terms;
+        long termsMs;
         try {
             file = FleetFile.read(Path.of(fleetFile));
+            termsMs = file.terms() == null ? 0 : file.terms().toFile().lastModified(); // before it is read
+            terms = file.terms() == null ? Terms.NONE : TermsFile.read(file.terms());
         } catch (FleetFile.Faulty | IllegalArgumentException e) {
             System.err.println("hopdrum serve: the fleet's file cannot be used\n" + e.getMessage());
             return 1;
         }
         return Server.serve(configFile, (config, loop, door) -> {
-            Fleet fleet = Fleet.start(file, config.settings().ordinal(), config.seed(), loop.offsetUs());
+            Fleet fleet = Fleet.start(file, terms, termsMs, config.settings().ordinal(), config.seed(), loop.offsetUs());
             fleet.zones(config.zones());
             door.knows(fleet, fleet::distances);
+            if (fleet.sharesCustomers()) {
+                door.shares(fleet::shards);
+                fleet.onDoors((tier, there) -> loop.ask(() -> door.partners(tier, there)));
+            }
             return new Server.Beside() {
                 @Override
                 public void stopping() {
--- a/src/main/java/hopdrum/benchlink/Instance.java
+++ b/src/main/java/hopdrum/benchlink/Instance.java
@@ -163,7 +163,7 @@
             default -> throw new MalformedRecord("unknown form " + form + " of a list");
         };
         if (policy != null) {
-            policy.listed(meaning, entries);
+            policy.listed(0, meaning, entries);
         }
     }
 
--- a/src/main/java/hopdrum/fleet/Fleet.java
+++ b/src/main/java/hopdrum/fleet/Fleet.java
@@ -6,15 +6,20 @@
 import hopdrum.fleet.message.Message;
 import hopdrum.fleet.message.Rumour.State;
 import hopdrum.fleet.message.View;
+import hopdrum.fleet.shards.Partners;
+import hopdrum.fleet.shards.Terms;
 import hopdrum.fleet.store.Store;
 import hopdrum.fleet.view.Leases;
 import hopdrum.fleet.view.Membership;
 import hopdrum.host.Distances;
+import hopdrum.host.Shards;
 import hopdrum.host.Sharers;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -22,6 +27,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
 /**
@@ -42,12 +48,20 @@
     private final Store store;
     private final Links links;
     private final Membership membership; // under this object's lock
+    private final Partners partners;     // the same; null where no shards are divided
+    private final Deque<Said> unsaid = new ArrayDeque<>(); // the same; emptied once what changed is handed out
     private final long loopOffsetUs;
     private final Thread ticker;
     private final Thread keeper;
     private final BlockingQueue<Vote> votes = new LinkedBlockingQueue<>(); // a few for each view; emptied by the keeper
     private volatile Sharers sharers = new Sharers(Long.MIN_VALUE / 2, List.of());
     private volatile Distances distances;          // null: not to be gone by
+    private volatile Shards shards;                // null: nothing is divided yet
+    private Map<String, List<Shards.Door>> doors = Map.of();
+    private BiConsumer<Integer, List<Shards.Door>> onDoors = (tier, there) -> { };
+    private boolean leaves;
+    private long termsMs;                          // when the terms that are followed were written
+    private long termsUs;
     private List<String> zones = List.of();
     private double[] shown = {};                   // by zone, as last handed out
     private volatile boolean closed;
@@ -59,12 +73,18 @@
     private record Vote(Store.Kept kept, Runnable then) {
     }
 
+    private record Said(String to, Message message) {
+    }
+
     private final class Ears implements Links.Owner {
         @Override
         public String objection(Message.Hello hello) {
             if (!hello.fleet().equals(file.fleet())) {
                 return "another fleet";
             }
+            if (hello.shards() != file.shards() || file.shards() > 0 && hello.mostAloneMs() != file.mostAloneMs()) {
+                return "other shards or most_alone_ms"; // a taker counts the time out that a giver may have
+            }
             if (!file.operators().contains(hello.who().operator())) {
                 return "an unknown operator";
             }
@@ -80,7 +100,7 @@
             synchronized (Fleet.this) {
                 if (!closed) {
                     membership.heard(from, message, nowUs());
-                    publish();
+                    handOut();
                 }
             }
         }
@@ -100,7 +120,7 @@
             long start = Math.max(System.currentTimeMillis() * 1000, kept == null ? 0 : kept.lastStart() + 1);
             SplittableRandom random = new SplittableRandom(seed ^ start); // the seed may be another member's too
             long voter = kept == null ? random.nextLong() | 1 : kept.voter();
-            self = new Member(file.name(), start, voter, file.operator(), file.site(), gateway, file.advertise());
+            self = new Member(file.name(), start, voter, file.operator(), file.site(), gateway, file.advertise(), file.serves());
             log = new FleetLog(file.log(), self.name(), self.start());
             log.event("starts", "fleet", file.fleet(), "operator", self.operator(), "site", self.site(), "gateway", gateway,
                     "address", self.address(), "voter", voter, "kept", kept != null);
@@ -111,10 +131,13 @@
                     : new Store.Kept(voter, start, kept.view(), kept.promised(), kept.acceptedIn(), kept.accepted()));
             int colon = file.listen().lastIndexOf(':');
             links = new Links(new InetSocketAddress(file.listen().substring(0, colon),
-                    Integer.parseInt(file.listen().substring(colon + 1))), new Message.Hello(Message.VERSION, file.fleet(), self),
+                    Integer.parseInt(file.listen().substring(colon + 1))), new Message.Hello(Message.VERSION, file.fleet(), file.shards(),
+                    file.shards() == 0 ? 0 : file.mostAloneMs(), self),
                     random.split(), new Ears(), log);
-            membership = new Membership(self, file.seeds(), file.founders(), kept, file.timing(), random.split(), links::send,
-                    this::keep, log::event, nowUs());
+            partners = file.shards() == 0 ? null : new Partners(self, file.shards(), file.mostAloneMs(), file.timing(), random.split(),
+                    this::say, log::event, System::currentTimeMillis);
+            membership = new Membership(self, file.seeds(), file.founders(), kept, file.timing(), random.split(), this::say,
+                    this::keep, partners, log::event, nowUs());
             ticker = new Thread(null, this::keepTime, "fleet-view", 256 << 10);
             ticker.setDaemon(true);
             keeper = new Thread(null, this::keepVotes, "fleet-store", 256 << 10);
@@ -129,11 +152,16 @@
      * Starts the fleet's threads. Throws IOException, with one line, where the store, the log or the address cannot be
      * used.
      *
+     * @param terms what this operator wants of its partners, as its file had it at termsMs
      * @param gateway this front door's number in its operator's tier
      * @param loopOffsetUs what the front door's clock is ahead of this machine's monotonic one
      */
-    public static Fleet start(FleetFile file, int gateway, long seed, long loopOffsetUs) throws IOException {
+    public static Fleet start(FleetFile file, Terms terms, long termsMs, int gateway, long seed, long loopOffsetUs) throws IOException {
         Fleet fleet = new Fleet(file, gateway, seed, loopOffsetUs);
+        fleet.termsMs = termsMs;
+        if (fleet.partners != null) {
+            fleet.partners.follow(terms);
+        }
         fleet.links.start();
         fleet.ticker.start();
         fleet.keeper.start();
@@ -160,6 +188,21 @@
         return distances;
     }
 
+    /** Whether customers are shared with partners, in shards. */
+    public boolean sharesCustomers() {
+        return partners != null;
+    }
+
+    /** Null until something is divided; never waits. */
+    public Shards shards() {
+        return shards;
+    }
+
+    /** Who is told, from a thread of the fleet's, of the front doors that RPCs may be passed on to: all of a tier's. */
+    public synchronized void onDoors(BiConsumer<Integer, List<Shards.Door>> who) {
+        onDoors = who;
+    }
+
     private void place() {
         if (!file.places() || zones.isEmpty()) {
             return;
@@ -188,8 +231,9 @@
         while (!closed) {
             try {
                 synchronized (this) {
+                    follow();
                     membership.tick(nowUs());
-                    publish();
+                    handOut();
                     status();
                     map();
                     place();
@@ -215,6 +259,7 @@
                 synchronized (this) {
                     if (!closed) {
                         membership.council().kept(vote.then, nowUs());
+                        handOut();
                     }
                 }
             } catch (IOException e) {
@@ -233,6 +278,52 @@
         }
     }
 
+    private void say(String to, Message message) {
+        unsaid.add(new Said(to, message));
+    }
+
+    /** What may be acted on first, then what peers are told: nobody hears that this member has stopped before it has. */
+    private void handOut() {
+        publish();
+        divide();
+        for (Said s = unsaid.poll(); s != null; s = unsaid.poll()) {
+            links.send(s.to, s.message);
+        }
+    }
+
+    private void divide() {
+        if (partners == null) {
+            return;
+        }
+        long now = nowUs();
+        shards = partners.table(membership.council().leases(), file.operators(), leaves || membership.isOut(now), loopOffsetUs, now);
+        Map<String, List<Shards.Door>> there = partners.doors();
+        for (int i = 0; i < file.operators().size(); i++) {
+            List<Shards.Door> of = there.getOrDefault(file.operators().get(i), List.of());
+            if (!of.equals(doors.getOrDefault(file.operators().get(i), List.of()))) {
+                onDoors.accept(i + 1, of);
+            }
+        }
+        doors = there;
+    }
+
+    /** The operator's terms, read anew once their file is another; one that cannot be used changes nothing. */
+    private void follow() {
+        if (partners == null || file.terms() == null || nowUs() - termsUs < file.timing().periodUs()) {
+            return;
+        }
+        termsUs = nowUs();
+        long writtenMs = file.terms().toFile().lastModified();
+        if (writtenMs != termsMs && writtenMs != 0) {
+            termsMs = writtenMs;
+            try {
+                partners.follow(TermsFile.read(file.terms()));
+            } catch (FleetFile.Faulty e) {
+                log.limited("terms_faulty", e.getMessage());
+            }
+        }
+    }
+
     /** A new snapshot, if what may be claimed has changed; what it lets this gateway claim is logged first. */
     private void publish() {
         long now = nowUs();
@@ -289,8 +380,10 @@
     /** Good-bye: told to peers at once; nothing is claimed from here on. */
     public void leave() {
         synchronized (this) {
+            leaves = true;
+            divide(); // first: what it acted on is passed on from here
             membership.leave(nowUs());
-            publish();
+            handOut();
         }
     }
 
--- a/src/main/java/hopdrum/fleet/FleetFile.java
+++ b/src/main/java/hopdrum/fleet/FleetFile.java
@@ -1,5 +1,6 @@
 package hopdrum.fleet;
 
+import hopdrum.fleet.message.Division;
 import hopdrum.fleet.message.Member;
 import java.io.IOException;
 import java.io.StringReader;
@@ -23,7 +24,7 @@
 /** The file that serve --fleet names, read whole: all its faults are found before one is said. docs/fleet.md has its keys. */
 public record FleetFile(String fleet, String operator, List<String> operators, String site, String name, String listen,
                         String advertise, List<String> seeds, List<String> founders, Path store, Path log, Timing timing,
-                        boolean places) {
+                        boolean places, int shards, String serves, Path terms, long mostAloneMs) {
     private static final String NAME = "a name: letters, digits, dot, dash, underscore, 64 at most";
     private static final String ADDRESS = "a numeric address and a port, as 127.0.0.1:7401";
 
@@ -36,10 +37,10 @@
         }
     }
 
-    private static final class Reader {
+    static final class Reader {
         private final Path file;
-        private final Map<String, Node> values = new HashMap<>();
-        private final List<String> faults = new ArrayList<>();
+        final Map<String, Node> values = new HashMap<>();
+        final List<String> faults = new ArrayList<>();
 
         Reader(Path file) {
             this.file = file;
@@ -117,6 +118,15 @@
             return Long.parseLong(text);
         }
 
+        /** Throws all that was found, in the file's order; keys that nobody asked for among them. */
+        void end() throws Faulty {
+            values.forEach((key, node) -> fault(node, key + ": is not known here"));
+            if (!faults.isEmpty()) {
+                faults.sort(java.util.Comparator.comparingInt(FleetFile::lineOf));
+                throw new Faulty(faults);
+            }
+        }
+
         private static boolean isWhole(String text, long least, long most) {
             try {
                 long value = Long.parseLong(text);
@@ -143,6 +153,13 @@
         String store = r.text("store", null, t -> !t.isBlank(), "a folder");
         String log = r.text("log", "", t -> !t.isBlank(), "a file");
         String placement = r.text("placement", "map", t -> t.equals("map") || t.equals("plain"), "map or plain");
+        long shards = r.whole("shards", 0, 0, Division.MOST_SHARDS);
+        String serves = r.text("serves", "", FleetFile::isAddress, ADDRESS);
+        String terms = r.text("terms", "", t -> !t.isBlank(), "a file");
+        long aloneMs = r.whole("most_alone_ms", 30_000, 0, 240_000);
+        if (shards == 0 && !(serves + terms).isEmpty()) {
+            r.fault(null, "shards: is missing, expected how many there are, as serves or terms is there");
+        }
         Node lease = r.values.get("lease_ms");
         long periodMs = r.whole("probe_period_ms", 1_000, 50, 60_000);
         long leaseMs = r.whole("lease_ms", 10_000, 500, 600_000);
@@ -153,14 +170,11 @@
         if (!operators.isEmpty() && operator != null && !operators.contains(operator)) {
             r.fault(null, "operators: lacks this member's own operator '" + operator + "'");
         }
-        r.values.forEach((key, node) -> r.fault(node, key + ": is not known here"));
-        if (!r.faults.isEmpty()) {
-            r.faults.sort(java.util.Comparator.comparingInt(FleetFile::lineOf));
-            throw new Faulty(r.faults);
-        }
+        r.end();
         return new FleetFile(fleet, operator, operators.isEmpty() ? List.of(operator) : operators, site, name, listen, advertise,
                 seeds, founders, Path.of(store), log.isEmpty() ? null : Path.of(log),
-                new Timing(periodMs * 1_000, leaseMs * 1_000, forgetS * 1_000_000), placement.equals("map"));
+                new Timing(periodMs * 1_000, leaseMs * 1_000, forgetS * 1_000_000), placement.equals("map"),
+                (int) shards, serves.isEmpty() ? null : serves, terms.isEmpty() ? null : Path.of(terms), aloneMs);
     }
 
     private static int lineOf(String fault) {
--- a/src/main/java/hopdrum/fleet/message/Member.java
+++ b/src/main/java/hopdrum/fleet/message/Member.java
@@ -12,8 +12,10 @@
  * @param site where it stands
  * @param gateway its number in its operator's tier, from 0
  * @param address where its peers reach it, a numeric address and a port
+ * @param serves where RPCs reach it; null where it takes none from partners
  */
-public record Member(String name, long start, long voter, String operator, String site, int gateway, String address) {
+public record Member(String name, long start, long voter, String operator, String site, int gateway, String address,
+                     String serves) {
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
     private static final Pattern ADDRESS = Pattern.compile("(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:.]+]):\\d{1,5}");
     private static final int MOST_GATEWAYS = 100_000;
@@ -23,6 +25,12 @@
         check(start > 0 && voter != 0, "a start");
         check(gateway >= 0 && gateway < MOST_GATEWAYS, "a gateway's number");
         check(address != null && ADDRESS.matcher(address).matches(), "an address");
+        check(serves == null || ADDRESS.matcher(serves).matches(), "an address");
+    }
+
+    /** One that takes no RPCs from partners. */
+    public Member(String name, long start, long voter, String operator, String site, int gateway, String address) {
+        this(name, start, voter, operator, site, gateway, address, null);
     }
 
     /** Letters, digits, dot, dash and underscore, 64 at most. */
@@ -35,7 +43,7 @@
         return other != null && start == other.start && voter == other.voter && name.equals(other.name);
     }
 
-    static void check(boolean holds, String what) {
+    public static void check(boolean holds, String what) {
         if (!holds) {
             throw new IllegalArgumentException("a message holds " + what + " that cannot be");
         }
--- a/src/main/java/hopdrum/fleet/message/Message.java
+++ b/src/main/java/hopdrum/fleet/message/Message.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes.Type;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import java.util.Map;
 
 /** One message between members. Making one throws IllegalArgumentException where a figure cannot be. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "is")
@@ -16,10 +17,12 @@
     @Type(value = Message.Overruled.class, name = "overruled"), @Type(value = Message.Settled.class, name = "settled"),
     @Type(value = Message.AskSettled.class, name = "asksettled"), @Type(value = Message.Renew.class, name = "renew"),
     @Type(value = Message.Renewed.class, name = "renewed"), @Type(value = Message.Latency.class, name = "latency"),
-    @Type(value = Message.Held.class, name = "held")})
+    @Type(value = Message.Held.class, name = "held"), @Type(value = Message.Offers.class, name = "offers"),
+    @Type(value = Message.Opened.class, name = "opened")})
 public sealed interface Message {
-    int VERSION = 1;
+    int VERSION = 2;
     int MOST_RUMOURS = 2_000;
+    int MOST_OFFERS = 32;
 
     private static List<Rumour> checked(List<Rumour> rumours) {
         Member.check(rumours != null && rumours.size() <= MOST_RUMOURS, "rumours");
@@ -31,10 +34,15 @@
     }
 
     /** First on each connection, in both directions: who speaks, of which fleet, in which version. */
-    record Hello(int version, String fleet, Member who) implements Message {
+    record Hello(int version, String fleet, int shards, long mostAloneMs, Member who) implements Message {
         public Hello {
             Member.check(who != null && Member.isName(fleet), "a hello");
         }
+
+        /** From one that divides nothing. */
+        public Hello(int version, String fleet, Member who) {
+            this(version, fleet, 0, 0, who);
+        }
     }
 
     /** Instead of a hello, and the connection's last. */
@@ -166,4 +174,23 @@
             named(era, number);
         }
     }
+
+    // ---- Shards ----
+
+    /** What operators propose and say of it; merged in any order. */
+    record Offers(List<Offer> offers) implements Message {
+        public Offers {
+            Member.check(offers != null && offers.size() <= MOST_OFFERS, "offers");
+            offers = List.copyOf(offers);
+        }
+    }
+
+    /** To the operator's own: of these shards, as they moved with these views, all former owners have surely stopped. */
+    record Opened(long era, Map<Integer, Long> numbers) implements Message {
+        public Opened {
+            Member.check(era >= 0 && numbers != null && numbers.size() <= Division.MOST_SHARDS, "shards");
+            numbers.forEach((shard, number) -> Member.check(shard >= 0 && shard < Division.MOST_SHARDS && number > 0, "a shard"));
+            numbers = Map.copyOf(numbers);
+        }
+    }
 }
--- a/src/main/java/hopdrum/fleet/message/View.java
+++ b/src/main/java/hopdrum/fleet/message/View.java
@@ -10,8 +10,9 @@
  * @param era microseconds of the wall clock at the fleet's founding; 0 before that
  * @param number from 1 on; 0 before the founding
  * @param members sorted by name
+ * @param division who owns which shard; null where nothing is split between partners
  */
-public record View(long era, long number, List<Member> members) {
+public record View(long era, long number, List<Member> members, Division division) {
     /** What stands before a fleet is founded. */
     public static final View NONE = new View(0, 0, List.of());
     private static final int MOST_MEMBERS = 2_000;
@@ -26,6 +27,18 @@
         }
     }
 
+    /** Of a fleet whose operators share no shards. */
+    public View(long era, long number, List<Member> members) {
+        this(era, number, members, null);
+    }
+
+    /** The operators that have a member in it. */
+    public Set<String> operators() {
+        Set<String> all = new java.util.TreeSet<>();
+        members.forEach(m -> all.add(m.operator()));
+        return all;
+    }
+
     /** Null where the view has no such name. */
     public Member named(String name) {
         for (Member member : members) {
--- /dev/null
+++ b/src/main/java/hopdrum/fleet/shards/Partners.java
@@ -0,0 +1,215 @@
+package hopdrum.fleet.shards;
+
+import hopdrum.fleet.Timing;
+import hopdrum.fleet.message.Division;
+import hopdrum.fleet.message.Division.Move;
+import hopdrum.fleet.message.Member;
+import hopdrum.fleet.message.Message;
+import hopdrum.fleet.message.Offer;
+import hopdrum.fleet.message.Rumour.State;
+import hopdrum.fleet.message.View;
+import hopdrum.fleet.view.Decisions;
+import hopdrum.fleet.view.Dividing;
+import hopdrum.fleet.view.Leases;
+import hopdrum.fleet.view.Out;
+import hopdrum.fleet.view.Reachability;
+import hopdrum.host.Shards;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.LongSupplier;
+
+/**
+ * One member's part in what partners split: it speaks for its operator where it is the first of it, lets the council settle
+ * who owns what, and says what this front door may act on. Not thread-safe. Times are microseconds of one monotonic clock;
+ * agreements alone are by the wall clock.
+ */
+public final class Partners implements Dividing {
+    private static final int TOLD = 3;          // peers that are told of offers, each period
+    private static final int OPENED_PERIODS = 5;
+
+    private final Member self;
+    private final Timing timing;
+    private final Rule rule;
+    private final SplittableRandom random;
+    private final Out out;
+    private final Decisions log;
+    private final LongSupplier wallMs;
+    private final Negotiation negotiation;
+    private final Ownership ownership;
+    private View view = View.NONE;
+    private Reachability reach;
+    private long nextTellUs;
+    private long nextOpenedUs;
+    private Map<Integer, Long> openedSaid = Map.of();
+    private String said = "";
+    private long saidUntilUs;
+
+    /** @param wallMs the wall clock, milliseconds */
+    public Partners(Member self, int shards, long mostAloneMs, Timing timing, SplittableRandom random, Out out, Decisions log,
+                    LongSupplier wallMs) {
+        this.self = self;
+        this.timing = timing;
+        this.rule = new Rule(shards, mostAloneMs);
+        this.random = random;
+        this.out = out;
+        this.log = log;
+        this.wallMs = wallMs;
+        this.negotiation = new Negotiation(self, rule, log);
+        this.ownership = new Ownership(self, timing, mostAloneMs * 1000);
+    }
+
+    /** Whom this member believes to be there. */
+    public void watches(Reachability who) {
+        reach = who;
+    }
+
+    public void follow(Terms terms) {
+        negotiation.follow(terms);
+    }
+
+    // ---- What the council asks ----
+
+    @Override
+    public Division next(View before, List<Member> members) {
+        Set<String> present = new TreeSet<>();
+        members.forEach(m -> present.add(m.operator()));
+        long now = wallMs.getAsLong();
+        Offer ready = negotiation.ready(before, now);
+        Division next = rule.next(before, present, ready == null ? null : ready.terms(),
+                ready == null ? List.of() : Negotiation.agreedBy(ready), now);
+        return next.isLike(before.division()) ? before.division() : next;
+    }
+
+    @Override
+    public String objection(View before, View proposed) {
+        boolean same = proposed.division() != null && proposed.division().equals(before.division());
+        return same && rule.next(before, proposed.operators(), null, List.of(), wallMs.getAsLong()).goneMs().keySet()
+                .equals(before.division().goneMs().keySet()) ? null : rule.objection(before, proposed, wallMs.getAsLong());
+    }
+
+    @Override
+    public void settled(View now, long nowUs) {
+        View before = view;
+        view = now;
+        ownership.adopted(now, nowUs);
+        Division d = now.division();
+        if (d == null) {
+            return;
+        }
+        if (!d.isLike(before.division())) {
+            log.event("division", "era", now.era(), "number", now.number(), "operators", d.operators(), "owners", d.owners(),
+                    "agreement", d.agreement() == null ? Map.of() : Negotiation.say(d.agreement()), "agreed_by", d.agreedBy(),
+                    "expired", d.expired(), "gone", d.goneMs().keySet());
+        }
+        Set<String> takers = new TreeSet<>();
+        for (Move m : d.moves()) {
+            if (m.number() == now.number() && m.from().equals(self.operator()) && d.owner(m.shard()) != null) {
+                takers.add(d.owner(m.shard()));
+            }
+        }
+        for (Member m : now.members()) {
+            if (takers.contains(m.operator())) {
+                out.send(m.address(), new Message.Settled(now)); // at once: they wait for this member's word that it has stopped
+            }
+        }
+    }
+
+    // ---- What peers say ----
+
+    public void heard(Member from, long era, long number) {
+        ownership.heard(from, era, number);
+    }
+
+    public void heard(Member from, Message.Offers said, long nowUs) {
+        negotiation.heard(said, nowUs);
+    }
+
+    public void heard(Member from, Message.Opened said) {
+        if (from.operator().equals(self.operator())) {
+            ownership.heard(said);
+        }
+    }
+
+    // ---- In the course of time ----
+
+    public void tick(long nowUs) {
+        for (Member m : reach.left()) {
+            ownership.left(m);
+        }
+        negotiation.tick(view, speaks(), wallMs.getAsLong(), nowUs);
+        List<Member> peers = reach.present();
+        peers.removeIf(m -> m.is(self));
+        if (nowUs >= nextTellUs && !peers.isEmpty()) {
+            nextTellUs = nowUs + timing.periodUs();
+            if (!negotiation.offers().isEmpty()) {
+                for (int i = 0; i < TOLD; i++) {
+                    out.send(peers.get(random.nextInt(peers.size())).address(), new Message.Offers(negotiation.offers()));
+                }
+            }
+        }
+        Map<Integer, Long> opened = ownership.opened();
+        if (!opened.isEmpty() && (!opened.equals(openedSaid) || nowUs >= nextOpenedUs)) {
+            nextOpenedUs = nowUs + OPENED_PERIODS * timing.periodUs();
+            openedSaid = opened;
+            for (Member m : peers) {
+                if (m.operator().equals(self.operator())) {
+                    out.send(m.address(), new Message.Opened(view.era(), opened));
+                }
+            }
+        }
+    }
+
+    /** The first by name of its operator's, of those in the view that are there. */
+    private boolean speaks() {
+        for (Member m : view.members()) {
+            if (m.operator().equals(self.operator()) && (m.is(self) || reach.state(m.name()) == State.ALIVE)) {
+                return m.is(self);
+            }
+        }
+        return false;
+    }
+
+    // ---- What is asked ----
+
+    /** The front doors that RPCs may be passed on to, by operator: in the view, believed to be there, not this one. */
+    public Map<String, List<Shards.Door>> doors() {
+        Map<String, List<Shards.Door>> doors = new TreeMap<>();
+        for (Member m : view.members()) {
+            State state = reach.state(m.name());
+            if (!m.is(self) && m.serves() != null && (state == State.ALIVE || state == State.SUSPECT)) {
+                doors.computeIfAbsent(m.operator(), o -> new ArrayList<>())
+                        .add(new Shards.Door(m.name() + "/" + m.start(), m.site(), m.serves()));
+            }
+        }
+        return doors;
+    }
+
+    /**
+     * What this front door may act on, and whom to ask for the rest; null before the first division. Logged where it is another
+     * than before, so that who acted on a shard, and until when, can be told from the log alone.
+     *
+     * @param operators tiers by number, from 1 on
+     * @param offsetUs what the snapshot's clock is ahead of this one
+     * @param leaves whether this member has said good-bye: then it acts on nothing
+     */
+    public ShardTable table(Leases leases, List<String> operators, boolean leaves, long offsetUs, long nowUs) {
+        long since = leaves ? Long.MIN_VALUE / 2 : leases.sinceUs(nowUs);
+        Ownership.Rights rights = ownership.rights(since, nowUs, wallMs.getAsLong() * 1000);
+        if (rights == null) {
+            return null;
+        }
+        String acts = ShardTable.of(rights, self.operator(), operators, Set.of(), 0, 0).acts(nowUs);
+        long until = acts.indexOf('x') < 0 ? 0 : Math.max(0, rights.untilUs());
+        if (!acts.equals(said) || until != saidUntilUs) {
+            said = acts;
+            saidUntilUs = until;
+            log.event("acts", "era", view.era(), "number", view.number(), "operator", self.operator(), "on", acts, "until_us", until);
+        }
+        return ShardTable.of(rights, self.operator(), operators, doors().keySet(), timing.periodUs(), offsetUs);
+    }
+}
--- a/src/main/java/hopdrum/fleet/view/Council.java
+++ b/src/main/java/hopdrum/fleet/view/Council.java
@@ -2,6 +2,7 @@
 
 import hopdrum.fleet.Timing;
 import hopdrum.fleet.message.Ballot;
+import hopdrum.fleet.message.Division;
 import hopdrum.fleet.message.Member;
 import hopdrum.fleet.message.Message;
 import hopdrum.fleet.message.Rumour.State;
@@ -57,6 +58,7 @@
     private final Keeper keeper;
     private final Decisions log;
     private final Leases leases;
+    private final Dividing dividing;
     private final Deque<Message> toSelf = new ArrayDeque<>();   // emptied at the end of each call
     private View view;
     private Ballot promised;
@@ -73,8 +75,9 @@
     private long askedUs = NOTHING;
 
     public Council(Member self, List<String> founders, Kept kept, Timing timing, SplittableRandom random, Out out,
-                   Reachability reach, Keeper keeper, Decisions log, long nowUs) {
+                   Reachability reach, Keeper keeper, Dividing dividing, Decisions log, long nowUs) {
         this.self = self;
+        this.dividing = dividing;
         this.founders = founders.stream().sorted().toList();
         this.timing = timing;
         this.random = random;
@@ -91,6 +94,7 @@
         reach.learn(view, nowUs);
         leases.settled(view, nowUs, false);
         if (view.era() > 0) {
+            dividing.settled(view, nowUs);
             logView("kept");
         }
     }
@@ -174,7 +178,10 @@
     /** Proposes the next view once what it should be has stood still, and suspicions have been decided. */
     private void look(long nowUs) {
         List<Member> now = view.era() == 0 ? founding() : wantedNow(nowUs);
-        if (now == null || sameStarts(now, view.members())) {
+        boolean chair = isChair();
+        Division next = chair && now != null ? dividing.next(view, now) : view.division();
+        boolean divides = next != null && !next.isLike(view.division());
+        if (now == null || sameStarts(now, view.members()) && !divides) {
             wanted = null;
             changeSinceUs = NOTHING;
             return;
@@ -186,11 +193,11 @@
         changeSinceUs = changeSinceUs == NOTHING ? nowUs : changeSinceUs;
         boolean still = nowUs - wantedSinceUs >= STILL_PERIODS * timing.periodUs() && !anySuspect();
         if (!(still || nowUs - changeSinceUs >= BATCH_PERIODS * timing.periodUs()) || proposal != null
-                || nowUs < notBeforeUs || !isChair()) {
+                || nowUs < notBeforeUs || !chair) {
             return;
         }
         long era = view.era() == 0 ? System.currentTimeMillis() * 1000 : view.era();
-        propose(new View(era, view.number() + 1, wanted), nowUs);
+        propose(new View(era, view.number() + 1, wanted, next), nowUs);
     }
 
     /** Null until all founders are there, without a fleet of before. */
@@ -350,6 +357,8 @@
         if (votesOn(from, accept.era(), accept.number())) {
             if (accept.ballot().compareTo(promised) < 0) {
                 reply(from, new Message.Overruled(accept.era(), accept.number(), promised));
+            } else if (dividing.objection(view, accept.view()) != null) {
+                log.event("objects", "era", accept.era(), "number", accept.view().number(), "why", dividing.objection(view, accept.view()));
             } else {
                 View of = accept.view();
                 keep(accept.ballot(), accept.ballot(), of, () -> {
@@ -435,6 +444,7 @@
         }
         reach.learn(view, nowUs);
         leases.settled(view, nowUs, follows);
+        dividing.settled(view, nowUs);
     }
 
     private void logView(String how) {
--- a/src/main/java/hopdrum/fleet/view/Leases.java
+++ b/src/main/java/hopdrum/fleet/view/Leases.java
@@ -79,6 +79,11 @@
         return !view.has(self) || nowUs < gapUntilUs ? NEVER : heldSinceUs + timing.leaseUs();
     }
 
+    /** The last moment at which a majority was surely on this member's view, or the one before; long past where it may not act. */
+    public long sinceUs(long nowUs) {
+        return !view.has(self) || nowUs < gapUntilUs ? NEVER : heldSinceUs;
+    }
+
     boolean holds(long nowUs) {
         return nowUs < untilUs(nowUs);
     }
--- a/src/main/java/hopdrum/fleet/view/Membership.java
+++ b/src/main/java/hopdrum/fleet/view/Membership.java
@@ -4,6 +4,7 @@
 import hopdrum.fleet.latency.LatencyMap;
 import hopdrum.fleet.message.Member;
 import hopdrum.fleet.message.Message;
+import hopdrum.fleet.shards.Partners;
 import hopdrum.fleet.store.Store.Kept;
 import java.util.Collections;
 import java.util.List;
@@ -25,13 +26,15 @@
     private final Council council;
     private final LatencyMap latency;
     private final Out out;
+    private final Partners partners; // null where nothing is divided
     private long nextLatencyUs;
     private long tickedUs;
     private long outUntilUs = Long.MIN_VALUE / 2;
     private boolean left;
 
+    /** @param partners what operators split; null where they split nothing */
     public Membership(Member self, List<String> seeds, List<String> founders, Kept kept, Timing timing,
-                      SplittableRandom random, Out out, Council.Keeper keeper, Decisions log, long nowUs) {
+                      SplittableRandom random, Out out, Council.Keeper keeper, Partners partners, Decisions log, long nowUs) {
         this.self = self;
         this.timing = timing;
         this.random = random;
@@ -39,7 +42,12 @@
         this.out = out;
         latency = new LatencyMap(self, timing.periodUs());
         reach = new Reachability(self, seeds, timing, random, out, log, latency::sampled, nowUs);
-        council = new Council(self, founders, kept, timing, random, out, reach, keeper, log, nowUs);
+        this.partners = partners;
+        if (partners != null) {
+            partners.watches(reach);
+        }
+        council = new Council(self, founders, kept, timing, random, out, reach, keeper, partners == null ? Dividing.NONE : partners, log,
+                nowUs);
     }
 
     public Reachability reach() {
@@ -68,6 +76,9 @@
             reach.tick(nowUs);
             council.tick(nowUs);
             shareLatency(nowUs);
+            if (partners != null) {
+                partners.tick(nowUs);
+            }
         }
     }
 
@@ -109,10 +120,10 @@
         }
         if (message instanceof Message.Ping m) {
             reach.heard(from, m, nowUs);
-            council.peerHas(from, m.era(), m.number(), nowUs);
+            has(from, m.era(), m.number(), nowUs);
         } else if (message instanceof Message.Ack m) {
             reach.heard(from, m, nowUs);
-            council.peerHas(from, m.era(), m.number(), nowUs);
+            has(from, m.era(), m.number(), nowUs);
         } else if (message instanceof Message.PingFor m) {
             reach.heard(from, m, nowUs);
         } else if (message instanceof Message.Latency m) {
@@ -126,7 +137,7 @@
             reach.heard(from, m, nowUs);
         } else if (message instanceof Message.Exchange m) {
             reach.heard(from, m, nowUs);
-            council.peerHas(from, m.era(), m.number(), nowUs);
+            has(from, m.era(), m.number(), nowUs);
         } else if (message instanceof Message.NameTaken m) {
             taken(m, nowUs);
         } else if (message instanceof Message.Prepare m) {
@@ -141,6 +152,13 @@
             council.heard(from, m, nowUs);
         } else if (message instanceof Message.Settled m) {
             council.heard(from, m, nowUs);
+            if (partners != null) {
+                partners.heard(from, m.view().era(), m.view().number()); // who tells of a view holds it
+            }
+        } else if (message instanceof Message.Offers m && partners != null) {
+            partners.heard(from, m, nowUs);
+        } else if (message instanceof Message.Opened m && partners != null) {
+            partners.heard(from, m);
         } else if (message instanceof Message.AskSettled m) {
             council.heard(from, m, nowUs);
         } else if (message instanceof Message.Renew m) {
@@ -152,6 +170,14 @@
         }
     }
 
+    /** A peer has named the view that it holds. */
+    private void has(Member from, long era, long number, long nowUs) {
+        council.peerHas(from, era, number, nowUs);
+        if (partners != null) {
+            partners.heard(from, era, number);
+        }
+    }
+
     /** One that was settled on is told so by no other: it is the other that must go. */
     private void taken(Message.NameTaken said, long nowUs) {
         if (said.holder().name().equals(self.name()) && !said.holder().is(self) && !council.view().has(self)) {
--- a/src/main/java/hopdrum/fleet/view/Reachability.java
+++ b/src/main/java/hopdrum/fleet/view/Reachability.java
@@ -180,6 +180,17 @@
         return present;
     }
 
+    /** Who has said good-bye and is not forgotten yet. */
+    public List<Member> left() {
+        List<Member> left = new ArrayList<>();
+        for (Entry e : entries.values()) {
+            if (e.state == State.LEFT) {
+                left.add(e.member);
+            }
+        }
+        return left;
+    }
+
     /** A later start under this name, at another address; null if there is none. */
     public Member rival() {
         return rival;
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -19,6 +19,7 @@
 import hopdrum.host.Host;
 import hopdrum.host.Listed;
 import hopdrum.host.Outcome;
+import hopdrum.host.Shards;
 import hopdrum.host.Sharers;
 import hopdrum.policy.Policy;
 import java.io.IOException;
@@ -42,6 +43,7 @@
     private static final long SLOW_END_US = 3_500_000;
     private static final long CHECK_US = 250_000;
     private static final long TALLY_US = 10_000_000;
+    private static final long NOT_SETTLED_US = 1_000_000;
 
     private final Config config;
     private final Loop loop;
@@ -60,6 +62,7 @@
     private Runnable lost = () -> { };
     private Supplier<Sharers> sharers = () -> null;
     private Supplier<Distances> distances = () -> null;
+    private Supplier<Shards> shards;      // null where no partners share the customers
 
     /** What happened since the last line that said so. */
     private static final class Tally {
@@ -106,7 +109,7 @@
         }
         try {
             List<Listed> listed = directory.take(known, true);
-            policy.listed(Listed.Form.CACHED, listed);
+            policy.listed(0, Listed.Form.CACHED, listed);
             listKnown = !listed.isEmpty();
             return seq.longValue();
         } catch (IllegalArgumentException e) {
@@ -158,6 +161,26 @@
         distances = far;
     }
 
+    /** Where partners share the customers: who owns which shard is looked at for each RPC. */
+    public void shares(Supplier<Shards> settled) {
+        shards = settled;
+    }
+
+    /** The front doors of another tier, all that are there; on the loop's thread. */
+    public void partners(int tier, List<Shards.Door> doors) {
+        policy.listed(tier, Listed.Form.WHOLE, directory.partners(tier, doors));
+    }
+
+    /** Before anything is settled nobody knows who owns what. */
+    @Override
+    public long owner(long id, long customer) {
+        if (shards == null) {
+            return 0;
+        }
+        Shards settled = shards.get();
+        return settled == null ? -NOT_SETTLED_US : settled.owner(customer, rpcs.get(id).passedOn, nowUs());
+    }
+
     @Override
     public Distances distances() {
         return distances.get();
@@ -224,6 +247,11 @@
         client.took(rpc);
         tally.taken++;
         long leftUs = Math.max(1, head.leftMs * 1000 - client.ageUs());
+        if (shards != null) { // any front door takes any customer: its gateways are all that its shard's owner has
+            rpc.passedOn = RpcHead.isPassedOn(client.bytes(), client.message());
+            head.firstGateway = 0;
+            head.gateways = config.settings().gateways();
+        }
         rpc.handle = policy.take(rpc.id, head.method, head.customer, head.plan, head.units, head.firstGateway,
                 head.gateways, leftUs);
         rpcs.closeIfOver(rpc);
@@ -247,7 +275,10 @@
         ClientConnection client = callOut.rpc.client;
         if (client != null) {
             callOut.rpc.client = null;
-            tally.ok++;
+            callOut.passed = true;
+            tally.ok += answer.status() == 200 ? 1 : 0;
+            tally.pushedBack += answer.status() == 429 || answer.status() == 503 ? 1 : 0;
+            tally.aborted += answer.status() == 500 ? 1 : 0;
             if (!client.answer(bytes, answer)) {
                 client.close(); // it has not taken the answers before this one
             }
@@ -262,7 +293,8 @@
         callOut.ended = true;
         callOut.timeOut.cancel();
         OpenRpc rpc = callOut.rpc;
-        rpc.handle.callOutEnded(callOut.number, outcome, nowUs() - callOut.sentUs, outcome == Outcome.OK, 0, report);
+        rpc.handle.callOutEnded(callOut.number, outcome, nowUs() - callOut.sentUs, outcome == Outcome.OK || callOut.passed, 0,
+                report);
         rpcs.closeIfOver(rpc);
     }
 
@@ -295,7 +327,7 @@
         List<Listed> listed = directory.take(message, whole);
         listKnown |= !listed.isEmpty();
         if (whole || !listed.isEmpty()) {
-            policy.listed(whole ? Listed.Form.WHOLE : Listed.Form.CHANGES, listed);
+            policy.listed(0, whole ? Listed.Form.WHOLE : Listed.Form.CHANGES, listed);
         }
         openClients();
     }
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
@@ -57,7 +57,7 @@
                 config.settings().gateways(), config.mostUnits());
         compose();
         policy = new Policy(config.settings(), 1, this);
-        policy.listed(Listed.Form.CACHED, List.of(listed(1), listed(2), listed(3)));
+        policy.listed(0, Listed.Form.CACHED, List.of(listed(1), listed(2), listed(3)));
     }
 
     private static Listed listed(long backend) {
@@ -141,7 +141,7 @@
 
     @Override
     public void callOut(long id, long to, long timeOutUs) {
-        RpcHead.forward(client, request, timeOutUs / 1000, backend);
+        RpcHead.forward(client, request, timeOutUs / 1000, false, backend);
         backend.skip(backend.size());
         later.add(() -> {
             Policy.Rpc rpc = open.get(id);
--- a/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
@@ -6,6 +6,7 @@
 import hopdrum.frontdoor.wire.BadMessage;
 import hopdrum.frontdoor.wire.BackendAnswer;
 import hopdrum.frontdoor.wire.HttpReader;
+import hopdrum.frontdoor.wire.HttpWriter;
 import hopdrum.frontdoor.wire.RpcHead;
 import hopdrum.frontdoor.wire.Ring;
 import hopdrum.host.Outcome;
@@ -60,7 +61,7 @@
     /** Writes the RPC that stands at the front of its client's ring. */
     public boolean send(CallOut sent, long waitMs) {
         ClientConnection client = sent.rpc.client;
-        if (!RpcHead.forward(client.bytes(), client.message(), waitMs, out)) {
+        if (!RpcHead.forward(client.bytes(), client.message(), waitMs, pool.isDoor, out)) {
             return false;
         }
         callOut = sent;
@@ -139,9 +140,9 @@
     /** The client first, then the connection's next use, then the news of it, upon which that use may come. */
     private void whole(boolean keeps) {
         CallOut over = detach();
-        Outcome outcome = BackendAnswer.outcome(in, reader);
+        Outcome outcome = pool.isDoor ? BackendAnswer.outcomeOfDoor(reader) : BackendAnswer.outcome(in, reader);
         float[] report = BackendAnswer.report(in, reader, reportFields);
-        if (outcome == Outcome.OK) {
+        if (outcome == Outcome.OK || pool.isDoor && HttpWriter.isAnswer(reader.status())) {
             owner.pass(over, in, reader);
         }
         if (keeps) {
--- a/src/main/java/hopdrum/frontdoor/memory/CallOut.java
+++ b/src/main/java/hopdrum/frontdoor/memory/CallOut.java
@@ -10,6 +10,7 @@
     public BackendConnection connection; // null before it has one, and once it has ended
     public Loop.Timer timeOut;
     public boolean ended;
+    public boolean passed;          // its answer, whatever it is, is the client's
 
     public CallOut(OpenRpc rpc, int number, long sentUs) {
         this.rpc = rpc;
--- a/src/main/java/hopdrum/frontdoor/memory/Directory.java
+++ b/src/main/java/hopdrum/frontdoor/memory/Directory.java
@@ -2,6 +2,7 @@
 
 import hopdrum.frontdoor.lifecycle.Config;
 import hopdrum.host.Listed;
+import hopdrum.host.Shards;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -65,11 +66,11 @@
             // Only what is not named any more: unlisting closes a backend's idle connections.
             Set<String> named = new HashSet<>();
             entries.forEach(entry -> named.add(entry.name));
-            byName.forEach((name, pool) -> pool.listed(named.contains(name)));
+            byName.forEach((name, pool) -> pool.listed(named.contains(name) || pool.isDoor && pool.isListed()));
         }
         List<Listed> listed = new ArrayList<>();
         for (Entry entry : entries) {
-            Pool pool = byName.computeIfAbsent(entry.name, name -> new Pool(next++, entry.address));
+            Pool pool = byName.computeIfAbsent(entry.name, name -> new Pool(next++, entry.address, false));
             byNumber.put(pool.backend, pool);
             pool.moveTo(entry.address);
             pool.listed(entry.state != Listed.State.GONE);
@@ -81,6 +82,23 @@
         return listed;
     }
 
+    /** The front doors of another tier, all that are there, as backends of their own. */
+    public List<Listed> partners(int tier, List<Shards.Door> doors) {
+        String prefix = "tier " + tier + ": "; // no name that discovery gives
+        Set<String> named = new HashSet<>();
+        List<Listed> listed = new ArrayList<>();
+        for (Shards.Door door : doors) {
+            Pool pool = byName.computeIfAbsent(prefix + door.name(), k -> new Pool(next++, Config.address("serves", door.address()), true));
+            byNumber.put(pool.backend, pool);
+            pool.listed(true);
+            named.add(prefix + door.name());
+            listed.add(new Listed(pool.backend, Math.max(0, zones.indexOf(door.site())), 0, 0, Listed.State.READY, 1, 0));
+        }
+        byName.forEach((name, pool) -> pool.listed(pool.isListed() && (!name.startsWith(prefix) || named.contains(name))));
+        sweep();
+        return listed;
+    }
+
     public void sweep() {
         for (Iterator<Map.Entry<String, Pool>> i = byName.entrySet().iterator(); i.hasNext(); ) {
             Pool pool = i.next().getValue();
--- a/src/main/java/hopdrum/frontdoor/wire/BackendAnswer.java
+++ b/src/main/java/hopdrum/frontdoor/wire/BackendAnswer.java
@@ -34,6 +34,12 @@
         return in.status() >= 400 && in.status() < 500 ? Outcome.MOOT : Outcome.ERROR;
     }
 
+    /** Of a front door of another tier, whose answer is final: a pushback says that nothing ran, and is nobody's fault. */
+    public static Outcome outcomeOfDoor(HttpReader in) {
+        return in.status() == 200 ? Outcome.OK : in.status() == 503 || in.status() >= 400 && in.status() < 500 ? Outcome.MOOT
+                : Outcome.ERROR;
+    }
+
     /** The load report, in the order of the settings' fields; empty if there is none or it lacks one of them. */
     public static float[] report(Ring ring, HttpReader in, List<String> wanted) {
         int field = in.field(ring, LOAD);
--- a/src/main/java/hopdrum/frontdoor/wire/HttpWriter.java
+++ b/src/main/java/hopdrum/frontdoor/wire/HttpWriter.java
@@ -24,12 +24,21 @@
     private HttpWriter() {
     }
 
+    /** Whether this is a final answer to an RPC, as a front door gives it. */
+    public static boolean isAnswer(int status) {
+        return status == 200 || status == 429 || status == 503 || status == 500;
+    }
+
     /** The backend's whole answer, its body unchanged; false without room. */
     public static boolean answer(Ring from, HttpReader in, boolean close, Ring to) {
         if (!to.reserve(in.bodyTo() + 128)) {
             return false;
         }
-        to.put(OK);
+        if (in.status() == 200) {
+            to.put(OK);
+        } else {
+            statusLine(in.status(), to);
+        }
         RpcHead.passFields(from, in, NOT_PASSED, to);
         if (close) {
             to.put(CLOSE);
@@ -47,7 +56,7 @@
         if (!to.reserve(256)) {
             return false;
         }
-        to.put(ascii("HTTP/1.1 " + status + " " + REASONS.getOrDefault(status, "Error") + "\r\n"));
+        statusLine(status, to);
         if (retryAfterUs > 0) {
             to.put(RETRY);
             long ms = (retryAfterUs + 999) / 1000;
@@ -64,6 +73,10 @@
         return true;
     }
 
+    private static void statusLine(int status, Ring to) {
+        to.put(ascii("HTTP/1.1 " + status + " " + REASONS.getOrDefault(status, "Error") + "\r\n"));
+    }
+
     public static boolean leaveToSend(Ring to) {
         if (!to.reserve(CONTINUE.length)) {
             return false;
--- a/src/main/java/hopdrum/frontdoor/wire/RpcHead.java
+++ b/src/main/java/hopdrum/frontdoor/wire/RpcHead.java
@@ -25,6 +25,8 @@
     private static final byte[] EXPIRES_LINE = ascii("X-Expires-In-Ms: ");
     private static final byte[] LENGTH_LINE = ascii("\r\nContent-Length: ");
     private static final byte[] HEAD_END = ascii("\r\n\r\n");
+    private static final byte[] PASSED_ON = ascii("x-passed-on");
+    private static final byte[] PASSED_ON_LINE = ascii("X-Passed-On: 1\r\n");
     private static final long MOST_CUSTOMER = 1L << 33;
 
     private static final double MOST_UNITS = 1e6;      // where the settings name no most
@@ -202,14 +204,25 @@
                 + whole(value.substring(point + 1)) / Math.pow(10, value.length() - point - 1);
     }
 
-    /** Writes the RPC for a backend: all that the client sent but what is between neighbours; false without room. */
-    public static boolean forward(Ring from, HttpReader in, long waitMs, Ring to) {
+    /** The mark of an RPC that a front door of another tier has passed on to here. */
+    public static boolean isPassedOn(Ring ring, HttpReader in) {
+        return in.field(ring, PASSED_ON) >= 0;
+    }
+
+    /**
+     * Writes the RPC for a backend: all that the client sent but what is between neighbours; false without room. For a front
+     * door of another tier it is marked, so that it goes no further.
+     */
+    public static boolean forward(Ring from, HttpReader in, long waitMs, boolean toDoor, Ring to) {
         if (!to.reserve(in.bodyTo() + 128)) {
             return false;
         }
         int line = in.fields() > 0 ? in.nameFrom(0) : in.bodyFrom() - 2;
         to.put(from, 0, line);
         passFields(from, in, NOT_PASSED, to);
+        if (toDoor) {
+            to.put(PASSED_ON_LINE);
+        }
         to.put(EXPIRES_LINE);
         HttpWriter.number(to, waitMs);
         int length = in.bodyTo() - in.bodyFrom();
--- a/src/main/java/hopdrum/host/Host.java
+++ b/src/main/java/hopdrum/host/Host.java
@@ -32,6 +32,14 @@
         return null;
     }
 
+    /**
+     * Who may act for the customer of this RPC, as partners have settled. 0: this gateway, always so where there are none; above
+     * 0: the tier of that number is to be asked; below: nobody that is known here, for about so many microseconds.
+     */
+    default long owner(long id, long customer) {
+        return 0;
+    }
+
     /** Follows the list of backends, where it has to be asked for. */
     void followList();
 }
--- a/src/main/java/hopdrum/policy/Backends.java
+++ b/src/main/java/hopdrum/policy/Backends.java
@@ -6,11 +6,13 @@
 import hopdrum.host.Plan;
 import hopdrum.policy.Policy.Rpc;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 
 /** The list of backends: places, health, what a cold one can take, and which is picked. */
 final class Backends extends Part {
@@ -30,6 +32,8 @@
     private final Policy policy;
     private final int queueField;
     private final Map<Long, Backend> backends = new LinkedHashMap<>();   // emptied by list news
+    final PriorityQueue<Rpc> line = new PriorityQueue<>(                 // emptied by pump() and finish()
+            Comparator.comparingLong((Rpc r) -> r.startByUs).thenComparingLong(r -> r.order));
     private double places;                      // what this gateway may have out
 
     Backends(Policy policy) {
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -10,9 +10,7 @@
 import hopdrum.policy.Backends.Row;
 import hopdrum.policy.Quota.Customer;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.PriorityQueue;
 
 /**
  * All decisions of one gateway. A front door makes one Policy for each start and calls it from one thread:
@@ -28,17 +26,14 @@
     private static final long SWEEP_US = 2_000_000;
 
     private final Quota quota;
-    private final Backends backends;
+    private final List<Backends> tiers = new ArrayList<>(); // the backends, then each partner's front doors
     private final Row[] rows;
-    private final PriorityQueue<Rpc> line = new PriorityQueue<>(         // emptied by pump() and finish()
-            Comparator.comparingLong((Rpc r) -> r.startByUs).thenComparingLong(r -> r.order));
     private long orders;
     private double repeats = MOST_REPEATS;
 
     public Policy(Settings settings, long seed, Host host) {
         super(settings, seed, host);
         this.quota = new Quota(this);
-        this.backends = new Backends(this);
         this.rows = settings.methods().stream().map(Row::new).toArray(Row[]::new);
         if (settings.mustAskForList()) host.followList();
         at(now() + SWEEP_US, this::sweep);
@@ -72,16 +67,22 @@
     /** Another gateway has read a customer's count and found no room for one more RPC. */
     public void heard(byte[] message) { quota.heard(message); }
 
-    public void listed(Listed.Form form, List<Listed> entries) {
+    /** Tier 0 is the list of backends; others are partners, whose front doors count what they are passed. */
+    public void listed(int tier, Listed.Form form, List<Listed> entries) {
         if (form == Listed.Form.NONE) {
             at(now() + 1_000_000, host::followList);
         } else {
-            backends.listed(form, entries);
+            tier(tier).listed(form, entries);
             pump();
         }
         timers.arm();
     }
 
+    private Backends tier(int number) {
+        while (tiers.size() <= number) tiers.add(new Backends(this));
+        return tiers.get(number);
+    }
+
     private void sweep() {
         quota.sweep();
         at(now() + SWEEP_US, this::sweep);
@@ -95,19 +96,18 @@
         if (rpc.stage == Stage.NEW) {
             // 1. Beyond quota for certain: more than its share open, or a reading not yet refilled says so.
             customer.lastUsedUs = now();
-            if (rpc.isTooLate()) {
-                finish(rpc, 0); // a client's repeat whose soft deadline has passed takes no units
-                return;
-            }
-            long waitUs = customer.beyondForUs(rpc.units);
-            if (customer.openIsFull() || waitUs > 0) {
-                finish(rpc, customer.returnIn(waitUs, rpc.units));
+            long owner = host.owner(rpc.id, customer.key);
+            long waitUs = owner > 0 ? 0 : Math.max(-owner, customer.beyondForUs(rpc.units));
+            boolean late = rpc.isTooLate(); // a client's repeat whose soft deadline has passed takes no units
+            if (late || customer.openIsFull() || waitUs > 0) {
+                finish(rpc, late ? 0 : customer.returnIn(waitUs, rpc.units));
                 return;
             }
+            rpc.tier = tier((int) owner);
             boolean bucketFirst = quota.callsAreScarce()
                     && !customer.holdsNone() && customer.bucketNow(rpc.units) >= rpc.units;
             // 2. Ask: one call on the customer's count adds the units; its answer comes to answered().
-            if (plan.rate() <= 0) {
+            if (plan.rate() <= 0 || owner > 0) { // a partner's customer is counted there, once
                 rpc.stage = Stage.LINE;
             } else if (!bucketFirst && customer.awaitsVerdict(rpc)) {
                 customer.waiting.add(rpc); // the credit known is spoken for by calls still out
@@ -123,35 +123,37 @@
         }
         if (rpc.stage == Stage.LINE) {
             // 3. Wait in line until a backend's place comes free; pump() sends it on in its turn.
-            line.add(rpc);
+            rpc.tier.line.add(rpc);
             at(rpc.startByUs + 1, this::pump);
             pump();
         }
         // 4. What comes back is a call on the handle: Rpc.callOutEnded().
     }
 
-    /** Gives free places to the line, the RPC that must start soonest first. */
-    void pump() {
+    /** Gives free places to the lines, the RPC that must start soonest first. */
+    void pump() { for (Backends tier : tiers) pump(tier); }
+
+    private void pump(Backends tier) {
         List<Rpc> bound = new ArrayList<>(0);
-        while (!line.isEmpty()) {
-            Rpc rpc = line.peek();
+        while (!tier.line.isEmpty()) {
+            Rpc rpc = tier.line.peek();
             if (rpc.callOuts.isEmpty() && rpc.isTooLate()) {
-                line.poll();
+                tier.line.poll();
                 finish(rpc, rpc.customer.returnIn(rpc.row.usualUs(), rpc.units)); // too late
                 continue;
             }
-            Backend backend = backends.hasPlace() ? backends.pick(rpc) : null;
+            Backend backend = tier.hasPlace() ? tier.pick(rpc) : null;
             if (backend == null && rpc.callOuts.isEmpty()) break; // a repeat may be bound; the line goes on
-            line.poll();
+            tier.line.poll();
             if (backend != null) {
                 send(rpc, backend);
-            } else if (backends.noneMayTake(rpc)) {
+            } else if (tier.noneMayTake(rpc)) {
                 finish(rpc, 0); // given up, and so answered at once
             } else {
                 bound.add(rpc);
             }
         }
-        line.addAll(bound);
+        tier.line.addAll(bound);
     }
 
     private void send(Rpc rpc, Backend backend) {
@@ -194,7 +196,7 @@
         boolean pointless = rpc.softDlUs <= now() && rpc.row.method.lateUtility() <= 0;
         if (!rpc.mayRepeat() || pointless || mayHaveRun && repeats < 1) return false;
         if (mayHaveRun) repeats -= 1;
-        line.add(rpc);
+        rpc.tier.line.add(rpc);
         return true;
     }
 
@@ -238,10 +240,11 @@
         final double units;
         double weight;      // as counted for it
         private final long softDlUs;
-        private final long startByUs; // later it is not likely to meet its soft deadline
+        final long startByUs; // later it is not likely to meet its soft deadline
         private final long giveUpAtUs;
-        private final long order = orders++;
+        final long order = orders++;
         private final List<CallOut> callOuts = new ArrayList<>(1);
+        Backends tier;      // whose backends may take it; before it is in line, nobody's
         Stage stage = Stage.NEW;
         boolean admitted;
         private boolean streaming;
@@ -286,7 +289,7 @@
             }
             if (!isDone() && over) {
                 close();
-            } else if (!isDone() && outCount() == 0 && !line.contains(this)
+            } else if (!isDone() && outCount() == 0 && !tier.line.contains(this)
                     && (outcome == Outcome.MOOT || outcome == Outcome.TIMED_OUT || streaming
                     || !sendFurther(this, !callOut.neverRan))) {
                 finish(this, 0);
@@ -317,7 +320,7 @@
 
         /** The RPC has its final answer; units that it took and never used go back. */
         private void close() {
-            if (stage == Stage.LINE || stage == Stage.OUT) line.remove(this);
+            if (stage == Stage.LINE || stage == Stage.OUT) tier.line.remove(this);
             customer.waiting.remove(this);
             if (callOuts.isEmpty() && admitted) {
                 customer.owed -= weight;
@@ -353,7 +356,8 @@
 
         private boolean mayRepeat() {
             return callOuts.size() < settings.mostCallOuts()
-                    && (firstThatMayHaveRun() == null || row.method.repeat() != Method.Repeat.NON_IDEMPOTENT);
+                    && (firstThatMayHaveRun() == null // a partner repeats by itself, and counts each
+                    || tier == tiers.get(0) && row.method.repeat() != Method.Repeat.NON_IDEMPOTENT);
         }
 
         boolean mayGoTo(Backend b) {
--- a/src/rig/java/hopdrum/rig/swarm/Swarm.java
+++ b/src/rig/java/hopdrum/rig/swarm/Swarm.java
@@ -5,6 +5,9 @@
 import hopdrum.fleet.message.Member;
 import hopdrum.fleet.message.Message;
 import hopdrum.fleet.message.View;
+import hopdrum.fleet.shards.Partners;
+import hopdrum.fleet.shards.ShardTable;
+import hopdrum.fleet.shards.Terms;
 import hopdrum.fleet.store.Store.Kept;
 import hopdrum.fleet.view.Council;
 import hopdrum.fleet.view.Membership;
@@ -19,6 +22,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
 import java.util.function.ToLongFunction;
 
@@ -45,6 +49,11 @@
         public long nanos;     // of this thread, in its code
 
         public String site = "here";
+        public String operator = "one";
+        public Terms terms = Terms.NONE;
+        public long wallOffMs;
+        Partners partners;
+        ShardTable table;      // as at the last step at which it ran
 
         Node(String name, int gateway) {
             this.name = name;
@@ -86,6 +95,7 @@
         long us(String from, String to);
     }
 
+    private static final long WALL_MS = 1_800_000_000_000L;
     private final SplittableRandom random;
     private final Timing timing;
     private final List<String> founders;
@@ -109,6 +119,10 @@
     public final Map<String, Integer> wronglyDropped = new TreeMap<>();
     public final List<String> events = new ArrayList<>();
     public boolean keepEvents;
+    public int shards;                 // 0: nothing is divided
+    public long mostAloneMs = 30_000;
+    private final Map<Integer, Long> ownerlessSinceUs = new HashMap<>();
+    public long longestOwnerlessUs;    // of any shard, since the first was owned
 
     public Swarm(int members, int founding, Timing timing, long seed) {
         this.random = new SplittableRandom(seed);
@@ -147,7 +161,7 @@
         }
         long start = ++starts;
         long voter = node.kept == null ? random.nextLong() | 1 : node.kept.voter();
-        node.self = new Member(node.name, start, voter, "one", node.site, node.gateway, address(node));
+        node.self = new Member(node.name, start, voter, node.operator, node.site, node.gateway, address(node), shards == 0 ? null : address(node));
         Kept kept = node.kept;
         Member self = node.self;
         node.lastNumber = 0;
@@ -157,10 +171,32 @@
                 : new Kept(voter, start, kept.view(), kept.promised(), kept.acceptedIn(), kept.accepted());
         List<String> seeds = founders.stream().limit(3).map(n -> address(nodes.get(n))).toList();
         node.membership = new Membership(self, seeds, founders, kept, timing, random.split(),
-                (to, message) -> send(node, self, to, message), keeper, (event, pairs) -> event(node, event, pairs), nowUs);
+                (to, message) -> send(node, self, to, message), keeper, partners(node, self), (event, pairs) -> event(node, event, pairs), nowUs);
         node.nextTickUs = nowUs + random.nextLong(timing.periodUs() / 10);
     }
 
+    private Partners partners(Node node, Member self) {
+        node.partners = shards == 0 ? null : new Partners(self, shards, mostAloneMs, timing, random.split(),
+                (to, message) -> send(node, self, to, message), (event, pairs) -> event(node, event, pairs), () -> WALL_MS + nowUs / 1000 + node.wallOffMs);
+        if (node.partners != null) {
+            node.partners.follow(node.terms);
+        }
+        return node.partners;
+    }
+
+    /** Its operator's terms are others from now on. */
+    public void follow(Node node, Terms terms) {
+        node.terms = terms;
+        if (node.isUp() && node.partners != null) {
+            node.partners.follow(terms);
+        }
+    }
+
+    /** The wall clock of one whose clock is right, milliseconds. */
+    public long wallMs() {
+        return WALL_MS + nowUs / 1000;
+    }
+
     private void event(Node node, String event, Object... pairs) {
         if (keepEvents) {
             events.add(nowUs + " " + node.name + " " + event + " " + List.of(pairs));
@@ -247,6 +283,49 @@
             }
         }
         claims();
+        owners();
+    }
+
+    /** No shard has two operators that act on it; a process that is paused acts on until its lease is over. */
+    private void owners() {
+        if (shards == 0) {
+            return;
+        }
+        String[] owner = new String[shards];
+        for (Node node : nodes.values()) {
+            ShardTable table = !node.isUp() || node.membership.isOut(nowUs) ? null
+                    : node.pausedUntilUs > nowUs ? node.table : node.partners.table(node.membership.council().leases(), List.of(), false, 0, nowUs);
+            node.table = table;
+            String acts = table == null ? "" : table.acts(nowUs);
+            for (int i = 0; i < acts.length(); i++) {
+                if (acts.charAt(i) == 'x' && owner[i] != null && !owner[i].equals(node.operator)) {
+                    broken.add(nowUs + " one-owner: " + i + " has " + owner[i] + " and " + node.operator);
+                }
+                owner[i] = acts.charAt(i) == 'x' ? node.operator : owner[i];
+            }
+        }
+        for (int i = 0; i < shards; i++) {
+            if (owner[i] != null) {
+                ownerlessSinceUs.put(i, nowUs);
+            } else if (ownerlessSinceUs.containsKey(i)) {
+                longestOwnerlessUs = Math.max(longestOwnerlessUs, nowUs - ownerlessSinceUs.get(i));
+            }
+        }
+    }
+
+    /** How many shards each operator's front doors act on now. */
+    public Map<String, Integer> acting() {
+        Map<String, Integer> count = new TreeMap<>();
+        for (int i = 0; i < shards; i++) {
+            TreeSet<String> who = new TreeSet<>();
+            for (Node node : nodes.values()) {
+                if (node.isUp() && node.table != null && node.table.acts(nowUs).charAt(i) == 'x') {
+                    who.add(node.operator);
+                }
+            }
+            who.forEach(o -> count.merge(o, 1, Integer::sum));
+        }
+        return count;
     }
 
     /** What a process had not on disk when it was killed is gone. */
@@ -277,7 +356,7 @@
         }
         node.lastEra = view.era();
         node.lastNumber = view.number();
-        String content = view.members().toString();
+        String content = view.members() + " " + view.division();
         String before = contentByNumber.putIfAbsent(view.era() + "/" + view.number(), content);
         if (before != null && !before.equals(content)) {
             broken.add(nowUs + " one-name-one-view: " + view.era() + "/" + view.number() + " at " + node.name);
@@ -286,19 +365,21 @@
 
     /** What all may claim of one tier's quota at this moment; a process that is paused claims on until its lease is over. */
     private void claims() {
-        double sum = 0;
+        Map<String, Double> sums = new TreeMap<>();
         for (Node node : nodes.values()) {
             if (node.isUp() && !node.membership.isOut(nowUs) && nowUs < node.membership.council().leases().untilUs(nowUs)) {
                 int most = 1;
                 for (View view : node.membership.council().leases().live(nowUs)) {
-                    most = Math.max(most, view.members().size());
+                    most = Math.max(most, (int) view.members().stream().filter(m -> m.operator().equals(node.operator)).count());
                 }
-                sum += 1.0 / most;
+                sums.merge(node.operator, 1.0 / most, Double::sum);
             }
         }
-        if (sum > 1 + 1e-9) {
-            broken.add(nowUs + " claims: " + sum + " of the whole");
-        }
+        sums.forEach((operator, sum) -> {
+            if (sum > 1 + 1e-9) {
+                broken.add(nowUs + " claims: " + sum + " of the whole");
+            }
+        });
     }
 
     /** All that run have one view, and it holds exactly them, by this start. */
--- a/src/test/java/hopdrum/fleet/BadInputTest.java
+++ b/src/test/java/hopdrum/fleet/BadInputTest.java
@@ -140,11 +140,13 @@
     void peersThatMayNotSpeakOrSendNoFramesAreDroppedAndChangeNothing() throws Exception {
         int port = freePort();
         Path log = folder.resolve("n0.jsonl");
-        try (Fleet fleet = Fleet.start(FleetFile.read(fleetFile(good(port, "n0"))), 0, 1, 0)) {
+        FleetFile file = FleetFile.read(fleetFile(good(port, "n0")));
+        try (Fleet fleet = Fleet.start(file, hopdrum.fleet.shards.Terms.NONE, 0, 0, 1, 0)) {
             Awaitility.await().atMost(10, TimeUnit.SECONDS).until(() -> Files.readString(log).contains("\"event\":\"view\""));
             Member foreign = new Member("x", 5, 7, "south", "ams", 0, "127.0.0.1:9");
-            for (Message.Hello hello : List.of(new Message.Hello(1, "other", ONE), new Message.Hello(1, "demo", foreign),
-                    new Message.Hello(2, "demo", ONE))) {
+            for (Message.Hello hello : List.of(new Message.Hello(Message.VERSION, "other", ONE), new Message.Hello(Message.VERSION, "demo", foreign),
+                    new Message.Hello(1, "demo", ONE),
+                    new Message.Hello(Message.VERSION, "demo", 8, 1_000, ONE))) {
                 try (Socket socket = new Socket("127.0.0.1", port)) {
                     say(socket, hello);
                     assertThat(hears(socket)).isInstanceOf(Message.TurnedDown.class);
@@ -153,7 +155,7 @@
             }
             for (byte[] bytes : List.of(new byte[] {-1, -1, -1, -1, 0}, new byte[] {0x7f, 0, 0, 0}, new byte[] {0, 0, 0, 2, 9, 9})) {
                 try (Socket socket = new Socket("127.0.0.1", port)) {
-                    say(socket, new Message.Hello(1, "demo", ONE));
+                    say(socket, new Message.Hello(Message.VERSION, "demo", ONE));
                     assertThat(hears(socket)).isInstanceOf(Message.Hello.class);
                     socket.getOutputStream().write(bytes);
                     assertThat(socket.getInputStream().read()).isNegative();
--- a/src/test/java/hopdrum/frontdoor/wire/WireStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/wire/WireStoryTest.java
@@ -174,7 +174,7 @@
     void anRpcPassesOnButForWhatIsBetweenNeighbours() throws BadMessage {
         HttpReader reader = whole(HttpReader.Kind.REQUEST, RPC.replace("Host:", "Connection: keep-alive\r\nHost:"));
         Ring out = ring();
-        assertThat(RpcHead.forward(ring, reader, 321, out)).isTrue();
+        assertThat(RpcHead.forward(ring, reader, 321, false, out)).isTrue();
         assertThat(all(out)).isEqualTo("POST /api?area=7 HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: 9b1f\r\n"
                 + "X-Qos: checkout\r\nPlan: team\r\nCookie: a=b; key=00000000b4d65521\r\nIdempotency-Key: 5c0f\r\n"
                 + "Quota-Info: units=2,spread=3,first=1\r\nX-Expires-In-Ms: 321\r\nContent-Length: 5\r\n\r\nhello");
--- a/src/test/java/hopdrum/policy/DistancesStoryTest.java
+++ b/src/test/java/hopdrum/policy/DistancesStoryTest.java
@@ -19,7 +19,7 @@
         door.start(0);
         door.distances = new Distances(new long[] {0, farUs});
         for (int i = 1; i <= 4; i++) {
-            door.policy.listed(Listed.Form.CHANGES, List.of(new Listed(i, i <= 2 ? 0 : 1, 0, i, Listed.State.READY, 1, 0)));
+            door.policy.listed(0, Listed.Form.CHANGES, List.of(new Listed(i, i <= 2 ? 0 : 1, 0, i, Listed.State.READY, 1, 0)));
         }
         door.pass(10_000);
     }
--- a/src/test/java/hopdrum/policy/FakeHost.java
+++ b/src/test/java/hopdrum/policy/FakeHost.java
@@ -38,7 +38,7 @@
     }
 
     void list(long backend, Listed.State state, long startedAtUs) {
-        policy.listed(Listed.Form.CHANGES,
+        policy.listed(0, Listed.Form.CHANGES,
                 List.of(new Listed(backend, 0, 0, (int) backend % 2, state, 1, startedAtUs)));
     }
 
--- a/src/test/java/hopdrum/policy/RulesStoryTest.java
+++ b/src/test/java/hopdrum/policy/RulesStoryTest.java
@@ -149,7 +149,7 @@
     @Test
     void oddListsSetsAndMessagesAreBorne() {
         door.start(2);
-        door.policy.listed(Listed.Form.WHOLE, List.of()); // empty
+        door.policy.listed(0, Listed.Form.WHOLE, List.of()); // empty
         door.takeInQuota();
         door.list(1, Listed.State.READY, 0);
         door.list(1, Listed.State.READY, 0); // twice
