--- a/src/main/java/hopdrum/fleet/shards/Partners.java
+++ b/src/main/java/hopdrum/fleet/shards/Partners.java
@@ -104,7 +104,7 @@
         if (!d.isLike(before.division())) {
             log.event("division", "era", now.era(), "number", now.number(), "operators", d.operators(), "owners", d.owners(),
                     "agreement", d.agreement() == null ? Map.of() : Negotiation.say(d.agreement()), "agreed_by", d.agreedBy(),
-                    "expired", d.expired(), "gone", d.goneMs().keySet());
+                    "expired", d.expired(), "gone", d.goneMs().keySet(), "as_of_ms", d.asOfMs());
         }
         Set<String> takers = new TreeSet<>();
         for (Move m : d.moves()) {
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -247,6 +247,7 @@
         client.took(rpc);
         tally.taken++;
         long leftUs = Math.max(1, head.leftMs * 1000 - client.ageUs());
+        rpc.expiresAtUs = nowUs() + leftUs;
         if (shards != null) { // any front door takes any customer: its gateways are all that its shard's owner has
             rpc.passedOn = RpcHead.isPassedOn(client.bytes(), client.message());
             head.firstGateway = 0;
--- a/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
@@ -61,7 +61,9 @@
     /** Writes the RPC that stands at the front of its client's ring. */
     public boolean send(CallOut sent, long waitMs) {
         ClientConnection client = sent.rpc.client;
-        if (!RpcHead.forward(client.bytes(), client.message(), waitMs, pool.isDoor, out)) {
+        // Another front door is told how long the client waits, not when this one gives up: it goes by that for its soft deadline.
+        long leftMs = pool.isDoor ? Math.max(1, (sent.rpc.expiresAtUs - loop.nowUs()) / 1000) : waitMs;
+        if (!RpcHead.forward(client.bytes(), client.message(), leftMs, pool.isDoor, out)) {
             return false;
         }
         callOut = sent;
--- a/src/main/java/hopdrum/frontdoor/memory/OpenRpc.java
+++ b/src/main/java/hopdrum/frontdoor/memory/OpenRpc.java
@@ -11,6 +11,7 @@
     public final List<CallOut> callOuts = new ArrayList<>(1);
     public ClientConnection client;     // null once it has its answer, or has left
     public Policy.Rpc handle;
+    public long expiresAtUs;            // the client waits no longer
     public boolean passedOn;            // by another front door to here: it goes no further
 
     OpenRpc(long id, String trace, ClientConnection client) {
--- a/src/rig/java/hopdrum/rig/trial/Clients.java
+++ b/src/rig/java/hopdrum/rig/trial/Clients.java
@@ -21,6 +21,7 @@
     private final Journal journal;
     private final Map<String, Integer> ports;      // of the doors, by name
     private final List<List<String>> tiers;        // the doors of each operator, in the order of their numbers
+    private final boolean anyDoor;                 // any door takes any customer: the program says over how many it is spread
     private final List<List<String>> entries;      // those of them that clients come to
     private final double perSecond;
     private final int customers;
@@ -34,11 +35,12 @@
     private volatile boolean stopped;
     private Thread pacer;
 
-    Clients(Journal journal, Map<String, Integer> ports, List<List<String>> tiers, List<String> entries, double perSecond, int customers, int deadlineMs,
+    Clients(Journal journal, Map<String, Integer> ports, List<List<String>> tiers, boolean anyDoor, List<String> entries, double perSecond, int customers, int deadlineMs,
             long seed) {
         this.journal = journal;
         this.ports = ports;
         this.tiers = tiers;
+        this.anyDoor = anyDoor;
         this.entries = tiers.stream().map(t -> t.stream().filter(entries::contains).toList()).toList();
         this.perSecond = perSecond;
         this.customers = customers;
@@ -68,7 +70,7 @@
             String door = open.get(random.nextInt(open.size()));
             String method = random.nextInt(4) == 0 ? "once" : random.nextBoolean() ? "read" : "write";
             long id = n;
-            pool.execute(() -> rpc(id, customer, tier.size(), door, method));
+            pool.execute(() -> rpc(id, customer, anyDoor ? 1 : tier.size(), door, method));
         }
     }
 
--- a/src/rig/java/hopdrum/rig/trial/Neighbours.java
+++ b/src/rig/java/hopdrum/rig/trial/Neighbours.java
@@ -32,7 +32,8 @@
                 String name = operator + "-" + site + "-b" + i;
                 Semaphore free = new Semaphore(slots == 0 ? Integer.MAX_VALUE : slots, true);
                 HttpStandIn backend = new HttpStandIn(name, (request, to) -> {
-                    journal.event("ran", "rpc", request.field("X-Trace-Id"), "backend", name, "method", request.field("X-Qos"), "site", site);
+                    journal.event("ran", "rpc", request.field("X-Trace-Id"), "backend", name, "method", request.field("X-Qos"), "site", site,
+                            "operator", operator);
                     free.acquire();
                     Thread.sleep(workUs / 1000);
                     free.release();
--- a/src/rig/java/hopdrum/rig/trial/Trial.java
+++ b/src/rig/java/hopdrum/rig/trial/Trial.java
@@ -10,6 +10,8 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -37,6 +39,7 @@
     private final Relay.Sky sky = new Relay.Sky();
     private final Map<String, Relay> relays = new LinkedHashMap<>();
     private final Map<String, Integer> clientPorts = new LinkedHashMap<>();
+    private final Map<String, Way> passing = new HashMap<>(); // to each door, for what others pass on to it
     private final Map<String, Integer> fleetPorts = new HashMap<>();
     private final Map<String, Neighbours> neighbours = new LinkedHashMap<>();
     private final Map<String, Process> running = new ConcurrentHashMap<>();
@@ -116,6 +119,9 @@
         for (Door door : file.doors) {
             fleetPorts.put(door.name(), freePort());
             clientPorts.put(door.name(), freePort());
+            if (file.shards > 0) {
+                passing.put(door.name(), new Way(clientPorts.get(door.name())));
+            }
             relays.put(door.name(), new Relay(door.answersTo(), fleetPorts.get(door.name()), sky, seed + relays.size()));
         }
         Map<String, String> operators = new LinkedHashMap<>();
@@ -124,7 +130,10 @@
         file.doors.forEach(d -> sites.put(d.name(), d.site()));
         journal.event("trial", "about", file.about, "period_us", file.periodMs * 1_000L, "lease_us", file.leaseMs * 1_000L, "seed", seed,
                 "doors", operators, "sites", sites, "founders", file.founders, "rate", file.rate, "burst", file.burst, "deadline_us",
-                file.deadlineMs * 1_000L, "tiers", tiers);
+                file.deadlineMs * 1_000L, "tiers", tiers, "shards", file.shards, "most_alone_us", file.mostAloneMs * 1_000L);
+        for (Map.Entry<String, Map<String, Object>> t : file.terms.entrySet()) {
+            terms(t.getKey(), t.getValue());
+        }
         for (Door door : file.doors) {
             neighbours.get(door.operator()).discoveryFor(door.name(), door.site());
         }
@@ -146,7 +155,8 @@
             take(step);
             if (!loaded && step.what().equals("expect_settled") && file.rpcsASecond > 0) {
                 loaded = true; // clients come once the first view is expected
-                clients = new Clients(journal, clientPorts, new ArrayList<>(tiers.values()), file.entries, file.rpcsASecond, file.customers,
+                clients = new Clients(journal, clientPorts, file.shards > 0 ? List.of(List.copyOf(clientPorts.keySet()))
+                        : new ArrayList<>(tiers.values()), file.shards > 0, file.entries, file.rpcsASecond, file.customers,
                         file.deadlineMs, seed);
                 long delay = (long) (1_000 * step.number("within_s", 0));
                 Threads.start("load", () -> {
@@ -199,6 +209,9 @@
                     neighbours.get(d.operator()).lost(d.site(), false);
                 }
             }
+            case "amend" -> terms(step.who().get(0), (Map<String, Object>) step.more().get("terms"));
+            case "await_revision" -> awaitRevision(step.who().get(0));
+            case "lose_passing" -> step.who().forEach(door -> passing.get(door).lost(!Boolean.FALSE.equals(step.more().get("now"))));
             case "lie" -> step.who().forEach(door -> sky.lies(answersTo(door), step.number("times", 1)));
             case "lose_site" -> {
                 for (Neighbours n : neighbours.values()) {
@@ -229,6 +242,37 @@
         }
     }
 
+    /** An operator's terms file; moments are given as seconds from now. Moved into place, so that none is read half. */
+    private void terms(String operator, Map<String, Object> keys) throws IOException {
+        StringBuilder text = new StringBuilder();
+        for (Map.Entry<String, Object> e : keys.entrySet()) {
+            if (e.getKey().equals("until_s") || e.getKey().equals("from_s")) {
+                text.append(e.getKey(), 0, e.getKey().length() - 2).append(": ")
+                        .append(Instant.now().plusMillis((long) (1_000 * ((Number) e.getValue()).doubleValue()))).append('\n');
+            } else {
+                text.append(e.getKey()).append(": ").append(JSON.writeValueAsString(e.getValue())).append('\n');
+            }
+        }
+        Path beside = out.resolve("terms-" + operator + ".new");
+        Files.writeString(beside, text.toString());
+        Files.move(beside, out.resolve("terms-" + operator + ".yaml"), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** Waits until some door has a division by this revision of the agreement or a later one, 10 s at most. */
+    private void awaitRevision(String revision) throws IOException, InterruptedException {
+        long endUs = Journal.nowUs() + 10_000_000;
+        while (Journal.nowUs() < endUs) {
+            for (Door d : file.doors) {
+                Path log = out.resolve(d.name() + ".jsonl");
+                if (Files.exists(log) && Files.readAllLines(log).stream()
+                        .anyMatch(l -> l.contains("\"event\":\"division\"") && l.contains("\"revision\":" + revision + ","))) {
+                    return;
+                }
+            }
+            Thread.sleep(5);
+        }
+    }
+
     /** How late the rig's own threads wake, each second: tells a slow machine from a slow program. */
     private void lateness() {
         try {
@@ -321,7 +365,9 @@
                 + d.site() + "\nname: " + d.answersTo() + "\nlisten: 127.0.0.1:" + fleetPorts.get(door) + "\nadvertise: 127.0.0.1:"
                 + relays.get(door).port() + "\nseeds: [" + String.join(", ", seeds) + "]\nfounders: [" + String.join(", ", file.founders)
                 + "]\nstore: " + folder.resolve("store") + "\nlog: " + out.resolve(door + ".jsonl") + "\nprobe_period_ms: " + file.periodMs
-                + "\nlease_ms: " + file.leaseMs + "\nplacement: " + file.placement + "\n");
+                + "\nlease_ms: " + file.leaseMs + "\nplacement: " + file.placement + "\n" + (file.shards == 0 ? "" : "shards: " + file.shards
+                + "\nmost_alone_ms: " + file.mostAloneMs + "\nserves: 127.0.0.1:" + passing.get(door).port() + "\n"
+                + (file.terms.containsKey(d.operator()) ? "terms: " + out.resolve("terms-" + d.operator() + ".yaml") + "\n" : "")));
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         List<String> command = new ArrayList<>(List.of(java, "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m", "-Xss512k"));
         if (d.planted().isEmpty()) {
@@ -447,6 +493,9 @@
         for (Neighbours n : neighbours.values()) {
             n.close();
         }
+        for (Way w : passing.values()) {
+            w.close();
+        }
         journal.close();
     }
 
