--- a/src/main/java/hopdrum/FleetServer.java
+++ b/src/main/java/hopdrum/FleetServer.java
@@ -4,6 +4,7 @@
 import hopdrum.fleet.FleetFile;
 import hopdrum.fleet.TermsFile;
 import hopdrum.fleet.shards.Terms;
+import hopdrum.frontdoor.FrontDoor;
 import hopdrum.frontdoor.lifecycle.Server;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -25,15 +26,19 @@
             System.err.println("hopdrum serve: the fleet's file cannot be used\n" + e.getMessage());
             return 1;
         }
-        return Server.serve(configFile, (config, loop, door) -> {
+        return Server.serve(configFile, (config, loop) -> {
             Fleet fleet = Fleet.start(file, terms, termsMs, config.settings().ordinal(), config.seed(), loop.offsetUs());
             fleet.zones(config.zones());
-            door.knows(fleet, fleet::distances);
-            if (fleet.sharesCustomers()) {
-                door.shares(fleet::shards);
-                fleet.onDoors((tier, there) -> loop.ask(() -> door.partners(tier, there)));
-            }
             return new Server.Beside() {
+                @Override
+                public void serves(FrontDoor door) {
+                    door.knows(fleet, fleet::distances);
+                    if (fleet.sharesCustomers()) {
+                        door.shares(fleet::shards);
+                        fleet.onDoors((tier, there) -> loop.ask(() -> door.partners(tier, there)));
+                    }
+                }
+
                 @Override
                 public void stopping() {
                     fleet.leave();
--- a/src/main/java/hopdrum/fleet/Fleet.java
+++ b/src/main/java/hopdrum/fleet/Fleet.java
@@ -201,6 +201,17 @@
     /** Who is told, from a thread of the fleet's, of the front doors that RPCs may be passed on to: all of a tier's. */
     public synchronized void onDoors(BiConsumer<Integer, List<Shards.Door>> who) {
         onDoors = who;
+        tellDoors(Map.of());
+    }
+
+    /** The tiers whose front doors are others than they were. */
+    private void tellDoors(Map<String, List<Shards.Door>> before) {
+        for (int i = 0; i < file.operators().size(); i++) {
+            List<Shards.Door> of = doors.getOrDefault(file.operators().get(i), List.of());
+            if (!of.equals(before.getOrDefault(file.operators().get(i), List.of()))) {
+                onDoors.accept(i + 1, of);
+            }
+        }
     }
 
     private void place() {
@@ -297,14 +308,9 @@
         }
         long now = nowUs();
         shards = partners.table(membership.council().leases(), file.operators(), leaves || membership.isOut(now), loopOffsetUs, now);
-        Map<String, List<Shards.Door>> there = partners.doors();
-        for (int i = 0; i < file.operators().size(); i++) {
-            List<Shards.Door> of = there.getOrDefault(file.operators().get(i), List.of());
-            if (!of.equals(doors.getOrDefault(file.operators().get(i), List.of()))) {
-                onDoors.accept(i + 1, of);
-            }
-        }
-        doors = there;
+        Map<String, List<Shards.Door>> before = doors;
+        doors = partners.doors();
+        tellDoors(before);
     }
 
     /** The operator's terms, read anew once their file is another; one that cannot be used changes nothing. */
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Server.java
@@ -21,7 +21,7 @@
      * needs are loaded, for the archive that the JVM writes as it ends.
      */
     public static int train(String configFile) {
-        return run(configFile, "train", (config, loop, door) -> {
+        return run(configFile, "train", (config, loop) -> null, (loop, config, door) -> {
             new Thread(() -> {
                 try (Socket socket = new Socket()) {
                     socket.connect(door.address());
@@ -33,36 +33,42 @@
                 }
                 loop.ask(loop::stop);
             }, "client").start();
-            return null;
         });
     }
 
     /** What runs beside the front door, on threads of its own: told of SIGTERM, closed once the loop has ended. */
     public interface Beside {
+        /** The front door is there; its loop runs from now on. */
+        void serves(FrontDoor door);
+
         void stopping();
 
         void close() throws IOException;
     }
 
-    /** Starts what runs beside the front door; an IOException ends the start. */
+    /**
+     * Starts what runs beside the front door, null for nothing; an IOException ends the start. It comes before the front door
+     * listens: guards against clients that connect and wait while classes are loaded.
+     */
     public interface Besides {
-        Beside start(Config config, Loop loop, FrontDoor door) throws IOException;
+        Beside start(Config config, Loop loop) throws IOException;
     }
 
     /** Runs until SIGTERM. */
     public static int serve(String configFile) {
-        return serve(configFile, (config, loop, door) -> null);
+        return serve(configFile, (config, loop) -> null);
     }
 
     /** The same with something beside. */
     public static int serve(String configFile, Besides besides) {
         Ending ending = new Ending();
-        int code = run(configFile, "serve", (config, loop, door) -> {
-            ending.serves(loop, door);
-            Beside beside = besides.start(config, loop, door);
+        int code = run(configFile, "serve", (config, loop) -> {
+            Beside beside = besides.start(config, loop);
             ending.has(beside);
-            LOG.info("serving as " + config.name(), config.listen());
             return beside;
+        }, (loop, config, door) -> {
+            ending.serves(loop, door);
+            LOG.info("serving as " + config.name(), config.listen());
         });
         if (code != 0) {
             ending.isMoot();
@@ -80,8 +86,6 @@
         private Loop loop;
         private FrontDoor door;
         private Beside beside;
-        private boolean told;
-
         Ending() {
             Runtime.getRuntime().addShutdownHook(hook);
         }
@@ -93,9 +97,6 @@
 
         synchronized void has(Beside ofBeside) {
             beside = ofBeside;
-            if (told && beside != null) {
-                beside.stopping();
-            }
         }
 
         /** The start has failed: leaving is no success. */
@@ -109,14 +110,13 @@
 
         private void told() {
             synchronized (this) {
-                told = true;
+                if (beside != null) {
+                    beside.stopping();
+                }
                 if (door == null) {
                     Runtime.getRuntime().halt(0);
                 }
                 loop.ask(door::stop);
-                if (beside != null) {
-                    beside.stopping();
-                }
             }
             try {
                 starter.join();
@@ -172,11 +172,11 @@
     }
 
     private interface WhenUp {
-        Beside up(Config config, Loop loop, FrontDoor door) throws IOException;
+        void up(Loop loop, Config config, FrontDoor door) throws IOException;
     }
 
     /** The exit code is the process's. */
-    private static int run(String configFile, String command, WhenUp whenUp) {
+    private static int run(String configFile, String command, Besides besides, WhenUp whenUp) {
         long writtenMs = configFile == null ? 0 : new File(configFile).lastModified();
         Config config = config(configFile, command);
         if (config == null) {
@@ -186,14 +186,21 @@
             Loop loop = new Loop();
             Reload reload = new Reload(Path.of(configFile), loop, writtenMs);
             Warmup.run(config);
-            FrontDoor door = new FrontDoor(config, loop);
-            reload.follows(door);
-            Beside beside = whenUp.up(config, loop, door);
-            loop.run();
-            door.close();
-            loop.close();
-            if (beside != null) {
-                beside.close();
+            Beside beside = besides.start(config, loop);
+            try {
+                FrontDoor door = new FrontDoor(config, loop);
+                reload.follows(door);
+                if (beside != null) {
+                    beside.serves(door);
+                }
+                whenUp.up(loop, config, door);
+                loop.run();
+                door.close();
+                loop.close();
+            } finally {
+                if (beside != null) {
+                    beside.close();
+                }
             }
             LOG.info("ended", null);
             exitCode = 0;
--- a/src/rig/java/hopdrum/rig/planted/Planted.java
+++ b/src/rig/java/hopdrum/rig/planted/Planted.java
@@ -40,13 +40,13 @@
                 Files.writeString(own, Files.readString(fleet).replaceAll("lease_ms: (\\d+)", "lease_ms: $10"));
                 Main.main(new String[] {"serve", "--fleet", own.toString()});
             }
-            case "lone_view", "two_views", "goes_back", "old_start" -> {
+            case "lone_view", "two_views", "goes_back", "old_start", "acts_on_all", "lone_terms" -> {
                 Thread beside = new Thread(() -> beside(args[0], fleet), "planted");
                 beside.setDaemon(true);
                 beside.start();
                 Main.main(new String[] {"serve", "--fleet", fleet.toString()});
             }
-            case "twice", "silent", "lavish", "deaf" -> badDoor(args[0]);
+            case "twice", "silent", "lavish", "deaf", "both" -> badDoor(args[0]);
             default -> throw new IllegalArgumentException("no such fault: " + args[0]);
         }
     }
@@ -66,12 +66,26 @@
             Path log = Path.of(value(fleet, "log"));
             JsonNode starts = null;
             JsonNode view = null;
+            JsonNode acts = null;
+            JsonNode division = null;
             for (String line : Files.readAllLines(log)) {
                 JsonNode l = JSON.readTree(line);
                 starts = l.path("event").asText().equals("starts") ? l : starts;
                 view = l.path("event").asText().equals("view") ? l : view;
+                acts = l.path("event").asText().equals("acts") ? l : acts;
+                division = l.path("event").asText().equals("division") ? l : division;
             }
-            if (fault.equals("goes_back")) {
+            long now = System.nanoTime() / 1000;
+            if (fault.equals("acts_on_all")) {
+                append(log, ((com.fasterxml.jackson.databind.node.ObjectNode) acts).put("on", acts.path("on").asText().replace('-', 'x'))
+                        .put("mono_us", now).put("until_us", now + 5_000_000));
+            } else if (fault.equals("lone_terms")) {
+                com.fasterxml.jackson.databind.node.ObjectNode other = (com.fasterxml.jackson.databind.node.ObjectNode) division;
+                append(log, other.put("number", division.path("number").asLong() + 1).put("mono_us", now)
+                        .set("agreement", JSON.readTree("{\"revision\":9,\"moves\":1,\"epoch_ms\":60000,\"parties\":{\"north\":[1,1,0],\"south\":[1,1,0]}}")));
+                append(log, other.put("number", division.path("number").asLong() + 1).put("mono_us", now + 1)
+                        .put("owners", division.path("owners").asText().replace('B', 'A')));
+            } else if (fault.equals("goes_back")) {
                 append(log, ((com.fasterxml.jackson.databind.node.ObjectNode) view).put("number", 0).put("mono_us", System.nanoTime() / 1000));
             } else if (fault.equals("old_start")) {
                 append(log, ((com.fasterxml.jackson.databind.node.ObjectNode) starts).put("mono_us", System.nanoTime() / 1000));
@@ -154,6 +168,14 @@
                 return;
             }
             String answer = "";
+            if (fault.equals("both")) { // to a front door of the other operator as well
+                JsonNode other = JSON.readTree(Path.of(System.getenv("LB_CONFIG")).getParent().resolveSibling("s0").resolve("config.json").toFile());
+                String listen = other.path("listen").asText();
+                try (Socket to = new Socket("127.0.0.1", Integer.parseInt(listen.substring(listen.indexOf(':') + 1)))) {
+                    to.getOutputStream().write(head);
+                    answer = read(to.getInputStream());
+                }
+            }
             for (int i = 0; i < (fault.equals("twice") ? 2 : 1); i++) {
                 try (Socket to = new Socket("127.0.0.1", backend)) {
                     to.getOutputStream().write(head);
