--- a/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
@@ -9,6 +9,7 @@
 import hopdrum.frontdoor.lifecycle.Warmup;
 import hopdrum.frontdoor.memory.Budget;
 import hopdrum.frontdoor.memory.ClientConnection;
+import hopdrum.host.Shards;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
@@ -759,4 +760,74 @@
                     .hasMessageContaining(bad[2]).message().doesNotContain("\n");
         }
     }
+
+    // ---- Partners ----
+
+    /** All customers are a partner's, whose front doors these are; what was passed on to here is nobody's. */
+    private void shares(StandIn... doors) throws Exception {
+        CompletableFuture<Void> told = new CompletableFuture<>();
+        loop.ask(() -> {
+            door.shares(() -> (customer, passedOn, nowUs) -> passedOn ? -200_000 : 1);
+            List<Shards.Door> there = new ArrayList<>();
+            for (StandIn d : doors) {
+                there.add(new Shards.Door("door/" + d.address(), "z", d.address()));
+            }
+            door.partners(1, there);
+            told.complete(null);
+        });
+        told.get(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aPartnersRpcIsPassedOnWithAMarkAndItsAnswerIsTheClientsWhateverItIs() throws Exception {
+        start();
+        StandIn partner = new StandIn(request -> switch (field(request, "X-Trace-Id")) {
+            case "t1" -> ok("theirs");
+            case "t2" -> "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 0.250\r\nContent-Length: 0\r\n\r\n";
+            case "t3" -> "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+            default -> "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+        });
+        shares(partner);
+        assertThat(ask(rpc("t1", "order", ""))).startsWith("HTTP/1.1 200 ").endsWith("theirs");
+        String passed = partner.asked();
+        assertThat(field(passed, "X-Passed-On")).isEqualTo("1");
+        assertThat(Long.parseLong(field(passed, "X-Expires-In-Ms"))).as("the client's time, not this one's").isBetween(3_500L, 4_000L);
+        assertThat(ask(rpc("t2", "order", ""))).startsWith("HTTP/1.1 429 ").contains("Retry-After: 0.250");
+        assertThat(ask(rpc("t3", "order", ""))).startsWith("HTTP/1.1 503 ");
+        assertThat(ask(rpc("t4", "order", ""))).startsWith("HTTP/1.1 500 ");
+        assertThat(counter.requests).isEmpty();
+        assertThat(backend.requests).isEmpty();
+    }
+
+    @Test
+    void anRpcThatWasPassedOnGoesNoFurther() throws Exception {
+        start();
+        StandIn partner = new StandIn(request -> ok("never"));
+        shares(partner);
+        assertThat(ask(rpc("t1", "order", "X-Passed-On: 1\r\n"))).startsWith("HTTP/1.1 429 ").contains("Retry-After: 0.200");
+        assertThat(partner.requests).isEmpty();
+    }
+
+    @Test
+    void aPartnersDoorThatIsWithdrawnIsAskedNoMoreAndDiscoverysListLeavesTheOthersAlone() throws Exception {
+        start();
+        StandIn first = new StandIn(request -> ok("first"));
+        StandIn second = new StandIn(request -> ok("second"));
+        shares(first);
+        assertThat(ask(rpc("t1", "order", ""))).endsWith("first");
+        shares(second);
+        discovery.say(chunk("{\"seq\":42,\"whole\":true,\"hosts\":[" + host("b", backend.address(), "in_service") + "]}\n"));
+        assertThat(ask(rpc("t2", "order", ""))).endsWith("second");
+        assertThat(ask(rpc("t3", "order", ""))).endsWith("second");
+        assertThat(first.requests).hasSize(1);
+    }
+
+    @Test
+    void aPartnersDoorThatBreaksUnderAnRpcIsNotAskedTwice() throws Exception {
+        start();
+        StandIn partner = new StandIn(request -> null);
+        shares(partner);
+        assertThat(ask(rpc("t1", "order", ""))).startsWith("HTTP/1.1 500 ");
+        assertThat(partner.requests).hasSize(1);
+    }
 }
--- a/src/test/java/hopdrum/policy/FakeHost.java
+++ b/src/test/java/hopdrum/policy/FakeHost.java
@@ -24,6 +24,7 @@
     Policy policy;
     Sharers sharers;         // null: no fleet
     Distances distances;     // null: no map
+    long owner;              // 0: this tier
     private long wakeUs = Long.MAX_VALUE;
     private long lastId;
 
@@ -96,6 +97,11 @@
         return distances;
     }
 
+    @Override
+    public long owner(long id, long customer) {
+        return owner;
+    }
+
     @Override
     public Sharers sharers() {
         return sharers;
--- /dev/null
+++ b/src/test/java/hopdrum/policy/PartnersStoryTest.java
@@ -0,0 +1,97 @@
+package hopdrum.policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import hopdrum.host.Listed;
+import hopdrum.host.Method;
+import hopdrum.host.Outcome;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What becomes of RPCs whose customers are another's: backends 1 and 2 are this tier's, doors 11 and 12 a partner's. */
+class PartnersStoryTest {
+    private final FakeHost door = new FakeHost();
+
+    @BeforeEach
+    void start() {
+        door.start(2);
+        door.policy.listed(2, Listed.Form.WHOLE, List.of(new Listed(11, 0, 0, 0, Listed.State.READY, 1, 0),
+                new Listed(12, 0, 0, 0, Listed.State.READY, 1, 0)));
+        door.owner = 2;
+    }
+
+    private String lastCallOut() {
+        List<String> all = door.heard("call-out");
+        return all.get(all.size() - 1);
+    }
+
+    @Test
+    void aPartnersCustomerIsPassedOnAndCountedThereAlone() {
+        Policy.Rpc rpc = door.take();
+        assertThat(lastCallOut()).matches("call-out 1 to 1[12]");
+        assertThat(door.heard("add")).isEmpty();
+        door.end(rpc, 0, Outcome.OK, 5_000);
+        assertThat(rpc.over()).isTrue();
+        door.owner = 0;
+        Policy.Rpc own = door.takeInQuota();
+        assertThat(lastCallOut()).matches("call-out 2 to [12]");
+        door.end(own, 0, Outcome.OK, 5_000);
+    }
+
+    @Test
+    void whatMayHaveRunAtAPartnerIsNotSentAgainSinceItWouldBeCountedTwice() {
+        Policy.Rpc rpc = door.take();
+        door.end(rpc, 0, Outcome.RESET, 5_000);
+        assertThat(door.heard("call-out")).hasSize(1);
+        assertThat(door.heard("push back")).hasSize(1); // idempotent: the client may ask again
+    }
+
+    @Test
+    void whatMayHaveRunAtAPartnerAndMayNotRunTwiceIsAborted() {
+        door.method = new Method(2_000_000, 7_500_000, Method.Repeat.NON_IDEMPOTENT, Method.Group.ALL, 0, 0, false);
+        start();
+        Policy.Rpc rpc = door.take();
+        door.end(rpc, 0, Outcome.RESET, 5_000);
+        assertThat(door.heard("abort")).hasSize(1);
+    }
+
+    @Test
+    void whatSurelyNeverReachedAPartnersDoorGoesToItsOther() {
+        Policy.Rpc rpc = door.take();
+        String first = lastCallOut();
+        door.end(rpc, 0, Outcome.CONNECT_FAILED, 1_000);
+        assertThat(lastCallOut()).matches("call-out 1 to 1[12]").isNotEqualTo(first);
+    }
+
+    @Test
+    void aPartnersPushbackIsTheEndOfIt() {
+        Policy.Rpc rpc = door.take();
+        rpc.callOutEnded(0, Outcome.MOOT, 5_000, true, 0, FakeHost.NO_REPORT); // the client has it already
+        assertThat(rpc.over()).isTrue();
+        assertThat(door.heard("push back")).isEmpty();
+        assertThat(door.heard("call-out")).hasSize(1);
+    }
+
+    @Test
+    void aCustomerWhoseOwnerNobodyKnowsIsPushedBackWithATimeAndNothingIsGuessed() {
+        door.owner = -300_000;
+        Policy.Rpc rpc = door.take();
+        assertThat(rpc.over()).isTrue();
+        assertThat(door.heard("push back")).containsExactly("push back 1 for 300000");
+        assertThat(door.heard("add")).isEmpty();
+        assertThat(door.heard("call-out")).isEmpty();
+    }
+
+    @Test
+    void aPartnerWithoutPlacesHoldsUpNoRpcOfThisTier() {
+        for (int i = 0; i < 20; i++) {
+            door.take();
+        }
+        int passedOn = door.heard("call-out").size();
+        assertThat(passedOn).isLessThan(20);
+        door.owner = 0;
+        door.takeInQuota();
+        assertThat(lastCallOut()).matches("call-out 21 to [12]");
+    }
+}
--- a/src/test/java/hopdrum/rig/TrialsIT.java
+++ b/src/test/java/hopdrum/rig/TrialsIT.java
@@ -86,7 +86,7 @@
 
     @Test
     void theCheckerCatchesOwnersThatNobodyAgreedOnAndRpcsThatRunAtThem() throws Exception {
-        assertThat(broken("shards.yaml")).contains("one-owner", "owner", "one-operator", "agreed", "moves", "shares", "owned", "refusal");
+        assertThat(broken("owners.yaml")).contains("one-owner", "owner", "one-operator", "agreed", "moves", "shares", "owned", "refusal");
     }
 
     @Test
