A ceiling outlives its customer's moves: a store holds what has refilled since the shard came here

The taker's count is empty or, on a return, was refilled while the other owner let in; Quota took a full burst (less the spare) as its store each time. Without a ceiling a move lets in one burst more at most, as the checker's quota rule has it.

--- a/src/main/java/hopdrum/fleet/shards/Ownership.java
+++ b/src/main/java/hopdrum/fleet/shards/Ownership.java
@@ -12,6 +12,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 
 /**
@@ -43,6 +44,7 @@
     private final Map<Long, Door> doors = new HashMap<>();        // by start and name's hash; emptied once surely stopped
     private final TreeMap<Long, Adopted> adopted = new TreeMap<>(); // by number; the last 64
     private final Map<Integer, Long> opened = new HashMap<>();    // shard: the number of the move that it is open for; bounded by shards
+    private final Map<Integer, Long> openedUs = new HashMap<>();  // shard: when it opened here, or was said to be; the same
     private View view = View.NONE;
     private long firstNumber;           // what came before it is not known here
     private long longestAloneUs;
@@ -98,6 +100,7 @@
         doors.values().removeIf(d -> d.droppedUs != Long.MAX_VALUE && nowUs - d.droppedUs > 2 * spanUs(mostAloneUs));
         if (now.division() != null) {
             opened.keySet().removeIf(shard -> now.division().moveOf(shard) == null);
+            openedUs.keySet().retainAll(opened.keySet());
         }
     }
 
@@ -128,9 +131,14 @@
         }
     }
 
-    void heard(Message.Opened said) {
+    void heard(Message.Opened said, long nowUs) {
         if (said.era() == view.era()) {
-            said.numbers().forEach((shard, number) -> opened.merge(shard, number, Math::max));
+            said.numbers().forEach((shard, number) -> {
+                if (opened.getOrDefault(shard, 0L) < number) {
+                    opened.put(shard, number);
+                    openedUs.put(shard, nowUs);
+                }
+            });
         }
     }
 
@@ -180,6 +188,7 @@
         }
         boolean isIn = view.has(self);
         long[] from = new long[d.shards()];
+        long[] since = new long[d.shards()];
         List<String> owners = new ArrayList<>();
         int kept = mine(d);
         for (int i = 0; i < from.length; i++) {
@@ -190,9 +199,12 @@
                 Move move = d.moveOf(i);
                 from[i] = move == null ? PAST : opensUs(move);
                 if (from[i] <= nowUs && move != null) {
-                    opened.put(i, move.number());
+                    if (!Objects.equals(opened.put(i, move.number()), move.number())) {
+                        openedUs.put(i, nowUs);
+                    }
                     from[i] = PAST;
                 }
+                since[i] = openedUs.getOrDefault(i, PAST);
             }
         }
         long untilUs = heldSinceUs + Math.max(timing.leaseUs(), aloneUs());
@@ -201,7 +213,7 @@
         if (terms != null && !d.expired()) {
             all = nowUs + terms.untilMs() * 1000 - wallNowUs;
         }
-        return new Rights(view.number(), owners, from, untilUs, all, kept);
+        return new Rights(view.number(), owners, from, since, untilUs, all, kept);
     }
 
     /** The first shards, as many as its floor is: what it has left once the agreement has expired. */
@@ -216,10 +228,11 @@
      * @param number of the view that it is by
      * @param owners by shard; null for nobody
      * @param fromUs by shard, where it is this operator's: from when on
+     * @param sinceUs by shard, where it is this operator's: since when, as far as is known
      * @param untilUs until when
      * @param allUntilUs until when it may be more than the floor
      * @param floor so many of its shards, the first ones, are in its floor
      */
-    record Rights(long number, List<String> owners, long[] fromUs, long untilUs, long allUntilUs, int floor) {
+    record Rights(long number, List<String> owners, long[] fromUs, long[] sinceUs, long untilUs, long allUntilUs, int floor) {
     }
 }
--- a/src/main/java/hopdrum/fleet/shards/Partners.java
+++ b/src/main/java/hopdrum/fleet/shards/Partners.java
@@ -129,9 +129,9 @@
         negotiation.heard(said, nowUs);
     }
 
-    public void heard(Member from, Message.Opened said) {
+    public void heard(Member from, Message.Opened said, long nowUs) {
         if (from.operator().equals(self.operator())) {
-            ownership.heard(said);
+            ownership.heard(said, nowUs);
         }
     }
 
--- a/src/main/java/hopdrum/fleet/shards/ShardTable.java
+++ b/src/main/java/hopdrum/fleet/shards/ShardTable.java
@@ -13,6 +13,7 @@
     private final long[] tiers;      // by shard: whom to ask where this one may not act; NOBODY
     private final long[] fromUs;     // by shard, where it is its own
     private final long[] untilUs;    // the same
+    private final long[] sinceUs;    // the same: when it opened here
     private final long retryUs;
 
     private ShardTable(int shards, long retryUs) {
@@ -20,6 +21,7 @@
         tiers = new long[shards];
         fromUs = new long[shards];
         untilUs = new long[shards];
+        sinceUs = new long[shards];
         this.retryUs = retryUs;
     }
 
@@ -40,6 +42,7 @@
             t.tiers[i] = there.contains(owner) && operators.contains(owner) ? operators.indexOf(owner) + 1 : NOBODY;
             t.fromUs[i] = rights.fromUs()[i] == Long.MAX_VALUE ? Long.MAX_VALUE : rights.fromUs()[i] + offsetUs;
             t.untilUs[i] = rights.untilUs() + offsetUs;
+            t.sinceUs[i] = rights.sinceUs()[i] + offsetUs;
             if (t.own[i] && mine > rights.floor() && rights.allUntilUs() != Long.MAX_VALUE) {
                 t.untilUs[i] = Math.min(t.untilUs[i], rights.allUntilUs() + offsetUs);
             }
@@ -65,6 +68,11 @@
         return passedOn || tiers[shard] == NOBODY ? -retryUs : tiers[shard];
     }
 
+    @Override
+    public long ownedForUs(long customer, long nowUs) {
+        return Math.max(0, nowUs - sinceUs[shard(customer, own.length)]);
+    }
+
     /** From the first shard on, a character each: 'x' where this front door acts, at this time or as soon as it may. */
     public String acts(long nowUs) {
         StringBuilder on = new StringBuilder();
--- a/src/main/java/hopdrum/fleet/view/Membership.java
+++ b/src/main/java/hopdrum/fleet/view/Membership.java
@@ -158,7 +158,7 @@
         } else if (message instanceof Message.Offers m && partners != null) {
             partners.heard(from, m, nowUs);
         } else if (message instanceof Message.Opened m && partners != null) {
-            partners.heard(from, m);
+            partners.heard(from, m, nowUs);
         } else if (message instanceof Message.AskSettled m) {
             council.heard(from, m, nowUs);
         } else if (message instanceof Message.Renew m) {
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -181,6 +181,12 @@
         return settled == null ? -NOT_SETTLED_US : settled.owner(customer, rpcs.get(id).passedOn, nowUs());
     }
 
+    @Override
+    public long ownedForUs(long customer) {
+        Shards settled = shards == null ? null : shards.get();
+        return settled == null ? Host.super.ownedForUs(customer) : settled.ownedForUs(customer, nowUs());
+    }
+
     @Override
     public Distances distances() {
         return distances.get();
--- a/src/main/java/hopdrum/host/Host.java
+++ b/src/main/java/hopdrum/host/Host.java
@@ -40,6 +40,11 @@
         return 0;
     }
 
+    /** How long this tier has been this customer's owner without a break, as far as is known; longer than any quota without partners. */
+    default long ownedForUs(long customer) {
+        return Long.MAX_VALUE / 2;
+    }
+
     /** Follows the list of backends, where it has to be asked for. */
     void followList();
 }
--- a/src/main/java/hopdrum/host/Shards.java
+++ b/src/main/java/hopdrum/host/Shards.java
@@ -11,6 +11,9 @@
      */
     long owner(long customer, boolean passedOn, long nowUs);
 
+    /** How long this gateway's operator has owned the customer's shard without a break, as far as this gateway knows. */
+    long ownedForUs(long customer, long nowUs);
+
     /**
      * A front door of a tier that is to be asked.
      *
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -13,12 +13,11 @@
 import java.util.List;
 
 /**
- * All decisions of one gateway. A front door makes one Policy for each start and calls it from one thread:
- * take() for a new RPC, which returns its handle; all later news of that RPC is a call on the handle (Rpc).
- * News that belongs to no RPC comes by counted(), listed(), heard() and wake().
- * The Policy answers by calls on Host while it is being called; hopdrum.host holds that interface and the
- * types of the settings. Read advance() first: it is the ordinary path of an RPC from top to bottom.
- * Times are microseconds. Nothing here knows a deployment, a method or a customer by name.
+ * All decisions of one gateway. A front door makes one Policy for each start, for one thread: take() a new
+ * RPC and have its handle; later news of that RPC is a call on the handle, other news comes by counted(),
+ * listed(), heard() and wake(). The Policy answers by calls on Host while it is being called.
+ * Read advance() first: the ordinary path of an RPC from top to bottom. Times are microseconds.
+ * Nothing here knows a deployment, a method or a customer by name.
  */
 public final class Policy extends Part {
     private static final double REPEATS_PER_RPC = 0.1;
--- a/src/main/java/hopdrum/policy/Quota.java
+++ b/src/main/java/hopdrum/policy/Quota.java
@@ -207,7 +207,7 @@
         }
 
         double creditNow() {
-            return Math.min(plan.burst(), credit + plan.rate() * (now() - creditAtUs) / 1e6);
+            return Math.min(fullStore(), credit + plan.rate() * (now() - creditAtUs) / 1e6);
         }
 
         /**
@@ -295,7 +295,7 @@
             // Room above the burst is added back. The call that made the name (it reads its own amount alone)
             // puts back what this gateway remembers as spent: after a flush, an empty return, an epoch turn.
             boolean made = Math.abs(total - count.amount) < 1e-3;
-            double before = made ? rememberedCredit() : plan.burst();
+            double before = made ? rememberedCredit() : fullStore();
             double excess = room + count.amount - before;
             boolean large = excess > (made ? 0.5 : Math.max(1, plan.burst() * LAZY_EXCESS));
             if (large && (made || !awaitsMaker(total < excess))) {
@@ -336,10 +336,7 @@
             return unmade && now() < makerUntilUs;
         }
 
-        void know(double room) {
-            credit = room;
-            creditAtUs = now();
-        }
+        void know(double room) { credit = room; creditAtUs = now(); }
 
         /**
          * Guards the counter, while it is crowded, against customers at the end of their quota: one reading
@@ -357,7 +354,13 @@
         double rememberedCredit() {
             if (creditAtUs != NEVER) return creditNow();
             double spare = plan.ceilingBurst() - plan.burst() + plan.ceilingSlack();
-            return plan.ceilingRate() > 0 ? Math.max(0, Math.min(plan.burst(), spare)) : plan.burst();
+            return plan.ceilingRate() > 0 ? Math.max(0, Math.min(fullStore(), spare)) : plan.burst();
+        }
+
+        /** What its store can hold: under a ceiling, what has refilled since its shard came to this tier. */
+        double fullStore() {
+            double refilled = plan.rate() * host.ownedForUs(key) / 1e6;
+            return plan.ceilingRate() > 0 ? Math.min(plan.burst(), refilled) : plan.burst();
         }
 
         /** Its slices are shares of an RPC: this gateway alone knows next to nothing of the customer. */
@@ -388,7 +391,8 @@
                 double share = read ? 1 : Math.min(1, AT_ONCE * plan.burst() / gateways);
                 double full = Math.max(AT_START, grown) * share;
                 bucket = depth * (creditAtUs != NEVER ? Math.max(0, Math.min(1, creditNow() / plan.burst()))
-                        : host.sharers() != null ? Math.min(1, grown) : random.nextDouble() < full ? 1 : 0);
+                        : host.sharers() != null ? Math.min(fullStore() / plan.burst(), grown)
+                        : random.nextDouble() < full ? 1 : 0);
                 bucketAtUs = now();
             }
             return Math.min(depth, bucket + sliceRate() * (now() - bucketAtUs) / 1e6);
@@ -399,9 +403,7 @@
          * refilled, and whoever reads the count first trims it to a full burst. All of it would be a debt.
          */
         void forgetRefilled() {
-            if (bucket >= 0 && owed > 0) {
-                owed = Math.min(owed, Math.max(0, depth(0) - bucketNow(0)));
-            }
+            if (bucket >= 0 && owed > 0) owed = Math.min(owed, Math.max(0, depth(0) - bucketNow(0)));
         }
 
         /** The counter is silent: a leaky bucket with this gateway's share, started from what it knows. */
--- a/src/rig/java/hopdrum/rig/check/Checker.java
+++ b/src/rig/java/hopdrum/rig/check/Checker.java
@@ -325,6 +325,7 @@
     }
 
     /**
+     * "ceiling": over any window a customer under a ceiling has no more than its ceiling's burst and rate, moves or not.
      * "quota": what a customer is let in over any window is within two bursts (one at the counter, one in the buckets that
      * start as it falls silent; one more for each further time that it falls silent or is emptied), the rate, and an RPC
      * for each gateway, whose slice may be less than one.
@@ -348,7 +349,10 @@
                 let.computeIfAbsent(l.path("customer").asInt(), k -> new ArrayList<>()).add(new long[] {l.path("sent_us").asLong(), at(l)});
             }
         }
+        double ceilingRate = trial.path("ceiling_rate").asDouble();
+        double ceilingBurst = trial.path("ceiling_burst").asDouble();
         double worst = Double.NEGATIVE_INFINITY;
+        double ceilingPart = 0;
         for (Map.Entry<Integer, List<long[]>> e : let.entrySet()) {
             List<long[]> all = e.getValue();
             all.sort(Comparator.comparingLong(x -> x[0]));
@@ -358,6 +362,12 @@
                     last = Math.max(last, all.get(j)[1]);
                     double most = burst * (1 + Math.max(1, losses.size()) + owners.moves(e.getKey(), all.get(i)[0], last)) + rate * (last - all.get(i)[0]) / 1e6 + gateways;
                     worst = Math.max(worst, j - i + 1 - most);
+                    double ceiling = ceilingBurst + ceilingRate * (last - all.get(i)[0]) / 1e6;
+                    ceilingPart = ceilingRate > 0 ? Math.max(ceilingPart, (j - i + 1) / ceiling) : 0;
+                    if (ceilingRate > 0 && j - i + 1 > ceiling) {
+                        fault("ceiling", last, "customer " + e.getKey() + " had " + (j - i + 1) + " RPCs in, its ceiling is " + ceiling);
+                        return;
+                    }
                     if (j - i + 1 > most) {
                         fault("quota", last, "customer " + e.getKey() + " had " + (j - i + 1) + " RPCs in, " + most + " at most");
                         return;
@@ -365,6 +375,9 @@
                 }
             }
         }
+        if (ceilingPart > 0) {
+            measured.add("closest to a ceiling: " + String.format(java.util.Locale.ROOT, "%.2f", ceilingPart) + " of it");
+        }
         if (!let.isEmpty()) {
             measured.add("closest to the bound on a quota: " + String.format(java.util.Locale.ROOT, "%.1f", -worst) + " RPCs below it");
         }
--- a/src/rig/java/hopdrum/rig/trial/Trial.java
+++ b/src/rig/java/hopdrum/rig/trial/Trial.java
@@ -129,7 +129,7 @@
         file.doors.forEach(d -> operators.put(d.name(), d.operator()));
         file.doors.forEach(d -> sites.put(d.name(), d.site()));
         journal.event("trial", "about", file.about, "period_us", file.periodMs * 1_000L, "lease_us", file.leaseMs * 1_000L, "seed", seed,
-                "doors", operators, "sites", sites, "founders", file.founders, "rate", file.rate, "burst", file.burst, "deadline_us",
+                "doors", operators, "sites", sites, "founders", file.founders, "rate", file.rate, "burst", file.burst, "ceiling_rate", file.ceilingRate, "ceiling_burst", file.ceilingBurst, "deadline_us",
                 file.deadlineMs * 1_000L, "tiers", tiers, "shards", file.shards, "most_alone_us", file.mostAloneMs * 1_000L);
         for (Map.Entry<String, Map<String, Object>> t : file.terms.entrySet()) {
             terms(t.getKey(), t.getValue());
@@ -407,7 +407,8 @@
         settings.put("Lanes", List.of(Map.of("Name", "read", "AimUs", dl / 2, "GiveUpUs", dl, "Effect", "retryable"),
                 Map.of("Name", "write", "AimUs", dl / 2, "GiveUpUs", dl, "Effect", "dedup", "Group", "all", "WindowUs", 5_000_000),
                 Map.of("Name", "once", "AimUs", dl / 2, "GiveUpUs", dl, "Effect", "fragile")));
-        settings.put("Packages", List.of(Map.of("Name", "trial", "PerSecond", file.rate, "Burst", file.burst)));
+        settings.put("Packages", List.of(Map.of("Name", "trial", "PerSecond", file.rate, "Burst", file.burst, "CapRate", file.ceilingRate,
+                "CeilingBurst", file.ceilingBurst, "CapSlack", 0)));
         settings.put("FamilyInfo", Map.of("MayCount", true, "CountWaitUs", 50_000));
         settings.put("Bounds", Map.of("AttemptsCap", 3, "Cancel", true, "SecondCopies", false, "Peers", false, "RetryAfter", true,
                 "MaxRetryAfterUs", 500_000, "DialTimeoutUs", 250_000, "ConnIdleUs", 15_000_000));
--- a/src/rig/java/hopdrum/rig/trial/TrialFile.java
+++ b/src/rig/java/hopdrum/rig/trial/TrialFile.java
@@ -35,7 +35,8 @@
     private static final Set<String> TOP = Set.of("about", "probe_period_ms", "lease_ms", "doors", "founders", "load", "steps", "random",
             "length_s", "backends", "work_ms", "slots", "placement", "delays_ms", "warm", "shards", "most_alone_ms", "terms");
     private static final Set<String> DOOR = Set.of("name", "operator", "site", "answers_to", "planted");
-    private static final Set<String> LOAD = Set.of("rpcs_a_second", "customers", "rate", "burst", "deadline_ms", "doors");
+    private static final Set<String> LOAD = Set.of("rpcs_a_second", "customers", "rate", "burst", "deadline_ms", "doors", "ceiling_rate",
+            "ceiling_burst");
     private static final Set<String> RANDOM = Set.of("from_s", "to_s", "every_s", "of", "most_down", "hold_s");
     private static final Set<String> STEPS = Set.of("start", "kill", "term", "pause", "wake", "cut", "cut_both", "heal", "delay", "lose",
             "duplicate", "hold", "release", "trickle", "reset", "counter", "expect_settled", "expect_same_view", "expect_cut_off",
@@ -55,6 +56,8 @@
     final int customers;
     final double rate;
     final double burst;
+    final double ceilingRate;   // 0: none
+    final double ceilingBurst;
     final int deadlineMs;
     final List<String> entries; // the doors that clients come to
     final long lengthMs;
@@ -92,6 +95,8 @@
         customers = (int) number(load, "customers", 10);
         rate = number(load, "rate", 5);
         burst = number(load, "burst", 10);
+        ceilingRate = number(load, "ceiling_rate", 0);
+        ceilingBurst = number(load, "ceiling_burst", 0);
         deadlineMs = (int) number(load, "deadline_ms", 2_000);
         for (Object o : list(all, "doors")) {
             Map<?, ?> d = o instanceof Map<?, ?> m ? m : Map.of();
--- a/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
@@ -767,7 +767,17 @@
     private void shares(StandIn... doors) throws Exception {
         CompletableFuture<Void> told = new CompletableFuture<>();
         loop.ask(() -> {
-            door.shares(() -> (customer, passedOn, nowUs) -> passedOn ? -200_000 : 1);
+            door.shares(() -> new Shards() {
+                @Override
+                public long owner(long customer, boolean passedOn, long nowUs) {
+                    return passedOn ? -200_000 : 1;
+                }
+
+                @Override
+                public long ownedForUs(long customer, long nowUs) {
+                    return 0;
+                }
+            });
             List<Shards.Door> there = new ArrayList<>();
             for (StandIn d : doors) {
                 there.add(new Shards.Door("door/" + d.address(), "z", d.address()));
--- a/src/test/java/hopdrum/policy/FakeHost.java
+++ b/src/test/java/hopdrum/policy/FakeHost.java
@@ -25,6 +25,7 @@
     Sharers sharers;         // null: no fleet
     Distances distances;     // null: no map
     long owner;              // 0: this tier
+    long ownedForUs = Long.MAX_VALUE / 2;
     private long wakeUs = Long.MAX_VALUE;
     private long lastId;
 
@@ -102,6 +103,11 @@
         return owner;
     }
 
+    @Override
+    public long ownedForUs(long customer) {
+        return ownedForUs;
+    }
+
     @Override
     public Sharers sharers() {
         return sharers;
--- a/src/test/java/hopdrum/policy/PartnersStoryTest.java
+++ b/src/test/java/hopdrum/policy/PartnersStoryTest.java
@@ -5,6 +5,7 @@
 import hopdrum.host.Listed;
 import hopdrum.host.Method;
 import hopdrum.host.Outcome;
+import hopdrum.host.Plan;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -83,6 +84,20 @@
         assertThat(door.heard("call-out")).isEmpty();
     }
 
+    @Test
+    void aCustomerUnderACeilingBeginsAtItsNewOwnerWithWhatHasRefilledSinceTheMove() {
+        door.plan = new Plan(2, 4, 0, 4, 8, 0);
+        door.ownedForUs = 500_000; // one unit
+        door.start(2);
+        door.owner = 0;
+        Policy.Rpc rpc = door.take();
+        door.policy.counted(door.lastName(), Outcome.OK, 1, 1_000); // it made the name: only its own unit is there
+        assertThat(door.heard("call-out")).hasSize(1);
+        double trimmed = Double.parseDouble(door.heard("add").get(1).substring(4));
+        assertThat(door.totalFor(0) - 1 - trimmed).as("room left after it").isBetween(-0.01, 0.01);
+        door.end(rpc, 0, Outcome.OK, 5_000);
+    }
+
     @Test
     void aPartnerWithoutPlacesHoldsUpNoRpcOfThisTier() {
         for (int i = 0; i < 20; i++) {
