--- a/src/main/java/hopdrum/fleet/view/Council.java
+++ b/src/main/java/hopdrum/fleet/view/Council.java
@@ -165,10 +165,13 @@
         drain(nowUs);
     }
 
-    /** The first by name of those who vote and are not even suspected; several may think so of themselves: no harm. */
+    /**
+     * The first by name of those who vote and are not even suspected; several may think so of themselves: no harm. Who was
+     * started anew without a store has no vote: waiting for it as the chair would be waiting for ever.
+     */
     private boolean isChair() {
         for (Member m : voters()) {
-            if (reach.state(m.name()) == State.ALIVE) {
+            if (reach.state(m.name()) == State.ALIVE && m.is(reach.known(m.name()))) {
                 return m.name().equals(self.name());
             }
         }
--- a/src/test/java/hopdrum/fleet/SettledViewsTest.java
+++ b/src/test/java/hopdrum/fleet/SettledViewsTest.java
@@ -60,6 +60,16 @@
         assertThat(swarm.broken).isEmpty();
     }
 
+    @Test
+    void theFirstByNameRestartedWithoutItsStoreHasNoVoteAndAnotherChairTakesItIn() {
+        Swarm swarm = settled(5, 4);
+        swarm.kill(swarm.node(0));
+        swarm.run(S);
+        swarm.start(swarm.node(0), false);
+        assertThat(swarm.until(15 * S, swarm::isSettled)).isTrue();
+        assertThat(swarm.broken).isEmpty();
+    }
+
     @Test
     void twoHalvesOfFourSettleNothingAndNeitherGrowsItsShare() {
         Swarm swarm = settled(4, 2);
