--- a/src/main/java/hopdrum/fleet/message/Division.java
+++ b/src/main/java/hopdrum/fleet/message/Division.java
@@ -10,7 +10,7 @@
  * @param asOfMs the wall clock of the one that proposed it
  * @param operators all that own something or are in the fleet, sorted
  * @param owners a character a shard: the owner's place among the operators, from 'A' on; '-' is nobody
- * @param moves the last move of each shard, as far back as it may matter
+ * @param moves the last move of each shard, as far back as it may matter; by shard
  * @param agreement the last that was in force, or is; null before the first
  * @param agreedBy the operators that have agreed to it; of a notice, the one that gave it
  * @param expired whether that one is over
@@ -48,6 +48,9 @@
         agreedBy = List.copyOf(agreedBy);
         moves = List.copyOf(moves);
         goneMs = java.util.Collections.unmodifiableMap(new TreeMap<>(goneMs));
+        for (int i = 1; i < moves.size(); i++) {
+            Member.check(moves.get(i - 1).shard() < moves.get(i).shard(), "moves");
+        }
         for (int i = 0; i < owners.length(); i++) {
             Member.check(owners.charAt(i) == NOBODY || owners.charAt(i) >= 'A' && owners.charAt(i) < 'A' + operators.size(), "an owner");
         }
@@ -64,7 +67,16 @@
 
     /** Null where it has not moved for as long as matters. */
     public Move moveOf(int shard) {
-        return moves.stream().filter(m -> m.shard() == shard).findFirst().orElse(null);
+        int from = 0;
+        for (int to = moves.size(); from < to; ) {
+            int middle = (from + to) / 2;
+            if (moves.get(middle).shard() < shard) {
+                from = middle + 1;
+            } else {
+                to = middle;
+            }
+        }
+        return from < moves.size() && moves.get(from).shard() == shard ? moves.get(from) : null;
     }
 
     /** Nothing but the time that it was made at is another. */
--- a/src/main/java/hopdrum/fleet/shards/Negotiation.java
+++ b/src/main/java/hopdrum/fleet/shards/Negotiation.java
@@ -18,7 +18,7 @@
  * first by name of those that are there. What all parties agree to is put in force with the next view. Not thread-safe.
  */
 final class Negotiation {
-    private static final long KEEP_US = 600_000_000;   // an offer that nobody has named for so long is forgotten
+    private static final long KEEP_US = 60_000_000;    // an offer that its own operator has not named for so long is forgotten
 
     private final Member self;
     private final Rule rule;
@@ -26,6 +26,8 @@
     private final Map<Agreement, Offer> offers = new LinkedHashMap<>();  // emptied by tick(): what is in force, old or too much
     private final Map<Agreement, Long> namedUs = new LinkedHashMap<>();  // the same
     private Terms terms = Terms.NONE;
+    private Agreement notice;    // that this member has given; null if none
+    private Agreement countered; // what it said that it would take instead; null if none
 
     Negotiation(Member self, Rule rule, Decisions log) {
         this.self = self;
@@ -36,11 +38,17 @@
     /** What this operator wants and would agree to, from now on. */
     void follow(Terms now) {
         terms = now;
+        countered = null;
         log.event("terms", "proposes", now.proposes() == null ? "" : say(now.proposes()), "gives_notice", now.givesNotice());
     }
 
+    /** What peers are told: of what this operator proposed, only what it still does. */
     List<Offer> offers() {
-        return List.copyOf(offers.values());
+        return offers.values().stream().filter(o -> !o.by().equals(self.operator()) || isMine(o.terms())).toList();
+    }
+
+    private boolean isMine(Agreement a) {
+        return a.equals(terms.proposes()) || a.equals(notice) || a.equals(countered);
     }
 
     /** Terms that may come in force after this view; null if there are none. */
@@ -59,13 +67,14 @@
         return offer.said().entrySet().stream().filter(e -> e.getValue().isEmpty()).map(Map.Entry::getKey).toList();
     }
 
-    void heard(Message.Offers said, long nowUs) {
+    void heard(Member from, Message.Offers said, long nowUs) {
         for (Offer o : said.offers()) {
-            take(o, nowUs);
+            take(o, from.operator().equals(o.by()), nowUs);
         }
     }
 
-    private void take(Offer heard, long nowUs) {
+    /** @param fromOwn whether its own operator names it: what others pass on does not keep it alive for ever */
+    private void take(Offer heard, boolean fromOwn, long nowUs) {
         Offer known = offers.get(heard.terms());
         if (known == null && offers.size() >= Message.MOST_OFFERS) {
             return; // guards against a peer that floods: those that are there go by themselves
@@ -75,7 +84,11 @@
             offers.put(heard.terms(), now);
             log.event(known == null ? "offer" : "offer_said", "terms", say(heard.terms()), "by", heard.by(), "said", now.said());
         }
-        namedUs.put(heard.terms(), nowUs);
+        if (fromOwn) {
+            namedUs.put(heard.terms(), nowUs);
+        } else {
+            namedUs.putIfAbsent(heard.terms(), nowUs);
+        }
     }
 
     /** @param speaks whether this member is its operator's speaker now */
@@ -88,15 +101,17 @@
             return;
         }
         Agreement mine = terms.proposes();
+        namedUs.replaceAll((a, at) -> isMine(a) ? nowUs : at);
         if (mine != null && mine.revision() == revision + 1 && !offers.containsKey(mine) && mine.faults(nowMs, rule.mostAloneMs()).isEmpty()) {
-            take(new Offer(mine, self.operator(), Map.of(self.operator(), "")), nowUs);
+            take(new Offer(mine, self.operator(), Map.of(self.operator(), "")), true, nowUs);
             agreed(mine);
         }
         if (terms.givesNotice() && last != null && last.party(self.operator()) != null && nowMs + last.noticeMs() < last.untilMs()
                 && offers.keySet().stream().noneMatch(a -> a.untilMs() <= nowMs + last.noticeMs() && a.parties().equals(last.parties()))) {
             Agreement ends = new Agreement(last.name(), revision + 1, last.parties(), last.fromMs(), nowMs + last.noticeMs(), last.aloneMs(),
                     last.standIn(), last.moves(), last.epochMs(), last.noticeMs());
-            take(new Offer(ends, self.operator(), Map.of(self.operator(), "")), nowUs);
+            notice = ends;
+            take(new Offer(ends, self.operator(), Map.of(self.operator(), "")), true, nowUs);
             log.event("gives_notice", "until_ms", ends.untilMs());
             agreed(ends);
         }
@@ -110,7 +125,7 @@
     private void answer(Offer offer, int revision, long nowMs, long nowUs) {
         List<String> why = objections(offer, revision, nowMs);
         if (why.isEmpty()) {
-            take(offer.with(self.operator(), ""), nowUs);
+            take(offer.with(self.operator(), ""), false, nowUs);
             agreed(offer.terms());
             return;
         }
@@ -118,12 +133,13 @@
         if (offer.said().containsKey(self.operator())) {
             return; // it has been refused already
         }
-        take(offer.with(self.operator(), text), nowUs);
+        take(offer.with(self.operator(), text), false, nowUs);
         log.event("refuses", "terms", say(offer.terms()), "why", text);
         Agreement counter = offer.by().equals(self.operator()) ? null : terms.counter(offer.terms(), self.operator());
         if (counter != null && !offers.containsKey(counter) && counter.faults(nowMs, rule.mostAloneMs()).isEmpty()
                 && objections(new Offer(counter, self.operator(), Map.of()), revision, nowMs).isEmpty()) {
-            take(new Offer(counter, self.operator(), Map.of(self.operator(), "")), nowUs);
+            countered = counter;
+            take(new Offer(counter, self.operator(), Map.of(self.operator(), "")), true, nowUs);
             log.event("counters", "terms", say(counter));
             agreed(counter);
         }
--- a/src/main/java/hopdrum/fleet/shards/Partners.java
+++ b/src/main/java/hopdrum/fleet/shards/Partners.java
@@ -31,6 +31,7 @@
 public final class Partners implements Dividing {
     private static final int TOLD = 3;          // peers that are told of offers, each period
     private static final int OPENED_PERIODS = 5;
+    private static final int TELL_TAKERS_PERIODS = 3;
 
     private final Member self;
     private final Timing timing;
@@ -45,6 +46,8 @@
     private Reachability reach;
     private long nextTellUs;
     private long nextOpenedUs;
+    private long tellTakersUntilUs = Long.MIN_VALUE / 2;
+    private long nextTakersUs;
     private Map<Integer, Long> openedSaid = Map.of();
     private String said = "";
     private long saidUntilUs;
@@ -106,15 +109,23 @@
                     "agreement", d.agreement() == null ? Map.of() : Negotiation.say(d.agreement()), "agreed_by", d.agreedBy(),
                     "expired", d.expired(), "gone", d.goneMs().keySet(), "as_of_ms", d.asOfMs());
         }
+        tellTakersUntilUs = nowUs + TELL_TAKERS_PERIODS * timing.periodUs();
+        tellTakers(nowUs);
+    }
+
+    /** At once, and some times again, since messages get lost: they wait for this member's word that it has stopped. */
+    private void tellTakers(long nowUs) {
+        nextTakersUs = nowUs + timing.periodUs() / 2;
+        Division d = view.division();
         Set<String> takers = new TreeSet<>();
         for (Move m : d.moves()) {
-            if (m.number() == now.number() && m.from().equals(self.operator()) && d.owner(m.shard()) != null) {
+            if (m.number() == view.number() && m.from().equals(self.operator()) && d.owner(m.shard()) != null) {
                 takers.add(d.owner(m.shard()));
             }
         }
-        for (Member m : now.members()) {
+        for (Member m : view.members()) {
             if (takers.contains(m.operator())) {
-                out.send(m.address(), new Message.Settled(now)); // at once: they wait for this member's word that it has stopped
+                out.send(m.address(), new Message.Settled(view));
             }
         }
     }
@@ -126,7 +137,7 @@
     }
 
     public void heard(Member from, Message.Offers said, long nowUs) {
-        negotiation.heard(said, nowUs);
+        negotiation.heard(from, said, nowUs);
     }
 
     public void heard(Member from, Message.Opened said, long nowUs) {
@@ -141,6 +152,9 @@
         for (Member m : reach.left()) {
             ownership.left(m);
         }
+        if (nowUs < tellTakersUntilUs && nowUs >= nextTakersUs) {
+            tellTakers(nowUs);
+        }
         negotiation.tick(view, speaks(), wallMs.getAsLong(), nowUs);
         List<Member> peers = reach.present();
         peers.removeIf(m -> m.is(self));
--- a/src/test/java/hopdrum/fleet/PartnersTest.java
+++ b/src/test/java/hopdrum/fleet/PartnersTest.java
@@ -99,6 +99,20 @@
         assertThat(swarm.broken).isEmpty();
     }
 
+    @Test
+    void offersThatTheirOperatorNamesNoMoreAreForgottenAndMakeRoom() {
+        Swarm swarm = settled(4, 2, 8);
+        follow(swarm, "op1", Terms.NONE);
+        for (int i = 0; i < 40; i++) { // more than are known at once
+            follow(swarm, "op0", proposes(terms(1, 0, swarm.wallMs() + 3_600_000 + i, false, 75, 25)));
+            swarm.run(S / 2);
+        }
+        swarm.run(62 * S);
+        follow(swarm, "op1", proposes(terms(1, 0, swarm.wallMs() + 1_800_000, false, 25, 75)));
+        assertThat(swarm.until(60 * S, () -> swarm.node(0).view().division().agreement() != null)).isTrue();
+        assertThat(swarm.broken).isEmpty();
+    }
+
     @Test
     void nothingIsInForceThatAPartyOnTheOtherSideOfASplitHasNotAgreedTo() {
         Swarm swarm = settled(5, 2, 3);
