--- a/src/rig/java/hopdrum/rig/planted/Planted.java
+++ b/src/rig/java/hopdrum/rig/planted/Planted.java
@@ -22,7 +22,7 @@
 
 /**
  * A process that breaks a rule on purpose, so that the checker can be shown to catch it. Either the program itself with a
- * fault beside it, or a front door of the rig's own that behaves badly. No flag of the product does any of this.
+ * fault beside it, or a front door of the rig's own that behaves badly; also what placement is held against. No flag of the product does any of this.
  */
 public final class Planted {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -46,6 +46,7 @@
                 beside.start();
                 Main.main(new String[] {"serve", "--fleet", fleet.toString()});
             }
+            case "all_knowing", "nearest" -> Baseline.serve(fleet, args[0].equals("all_knowing"));
             case "twice", "silent", "lavish", "deaf", "both" -> badDoor(args[0]);
             default -> throw new IllegalArgumentException("no such fault: " + args[0]);
         }
--- a/src/rig/java/hopdrum/rig/trial/Trial.java
+++ b/src/rig/java/hopdrum/rig/trial/Trial.java
@@ -41,6 +41,8 @@
     private final Map<String, Integer> clientPorts = new LinkedHashMap<>();
     private final Map<String, Way> passing = new HashMap<>(); // to each door, for what others pass on to it
     private final Map<String, Integer> fleetPorts = new HashMap<>();
+    private final Map<String, Boolean> lost = new LinkedHashMap<>();   // sites
+    private Map<String, Double> oneWayMs = Map.of();
     private final Map<String, Neighbours> neighbours = new LinkedHashMap<>();
     private final Map<String, Process> running = new ConcurrentHashMap<>();
     private final Map<String, Integer> starts = new HashMap<>();
@@ -204,6 +206,7 @@
             case "cut_both" -> each(from, to, true, w -> w.cut = true);
             case "heal" -> {
                 sky.clear();
+                lost.clear();
                 distances("", 1);
                 for (Door d : file.doors) {
                     neighbours.get(d.operator()).lost(d.site(), false);
@@ -217,6 +220,8 @@
                 for (Neighbours n : neighbours.values()) {
                     n.lost(step.text("site", ""), true);
                 }
+                lost.put(step.text("site", ""), true);
+                tellWays();
             }
             case "slow_site" -> distances(step.text("site", ""), step.number("times", 1));
             case "release" -> each(from, to, true, w -> {
@@ -303,7 +308,7 @@
     }
 
     /** The delay between each two doors by their sites; the ways of one site may be so many times longer. */
-    private void distances(String slow, double times) {
+    private void distances(String slow, double times) throws IOException {
         Map<String, Double> truth = new LinkedHashMap<>();
         for (Door a : file.doors) {
             for (Door b : file.doors) {
@@ -320,9 +325,17 @@
         }
         if (!file.delaysMs.isEmpty()) {
             journal.event("distances", "one_way_ms", truth);
+            oneWayMs = truth;
+            tellWays();
         }
     }
 
+    /** What all-knowing doors go by. */
+    private void tellWays() throws IOException {
+        Files.write(out.resolve("ways.new"), JSON.writeValueAsBytes(Map.of("one_way_ms", oneWayMs, "lost", lost)));
+        Files.move(out.resolve("ways.new"), out.resolve("ways.json"), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
     private String operator(String door) {
         return file.doors.stream().filter(d -> d.name().equals(door)).findFirst().orElseThrow().operator();
     }
