--- a/src/rig/java/hopdrum/rig/trial/Clients.java
+++ b/src/rig/java/hopdrum/rig/trial/Clients.java
@@ -125,11 +125,12 @@
     @Override
     public void close() {
         stopped = true;
-        if (pacer != null) {
-            pacer.interrupt();
-        }
-        pool.shutdown();
         try {
+            if (pacer != null) {
+                pacer.interrupt();
+                pacer.join(); // it gives the pool nothing more
+            }
+            pool.shutdown();
             if (!pool.awaitTermination(deadlineMs + 4_000, TimeUnit.MILLISECONDS)) {
                 pool.shutdownNow();
             }
