An attempt begins when its connection is up: for a client still there, in time, not drained

Cause: BackendConnection.send() wrote the request into the buffer before the connection was up. Whatever changed until then (0.25 s, by the settings' time-out up to any) was not looked at: the client had gone and cancelling is forbidden, the backend was told to drain, a repeat's window had passed, and X-Expires-In-Ms stated the time as it was at the dial.

Now: the request is written once the connection is up. If its client has gone it ends as moot, if its time to begin has passed or its backend was told to drain as could not connect (never ran), and the connection stays for the next one. Policy says by when an attempt has to begin (Rpc.repeatByUs, from the earliest attempt that may have run); Host.callOut has it as beginWithinUs. A request that did not fit left its new connection neither idle nor closed: closed now.

Link tells an orderly end from a broken one, and such an answer is passed on once it has ended in order.

--- a/src/main/java/hopdrum/benchlink/Instance.java
+++ b/src/main/java/hopdrum/benchlink/Instance.java
@@ -250,7 +250,7 @@
     }
 
     @Override
-    public void callOut(long rpc, long backend, long timeOutUs) {
+    public void callOut(long rpc, long backend, long timeOutUs, long beginWithinUs) {
         reply.record(80, number, 17).putInt((int) rpc).putInt((int) timeOutUs).putInt((int) backend);
     }
 
--- a/src/main/java/hopdrum/frontdoor/Discovery.java
+++ b/src/main/java/hopdrum/frontdoor/Discovery.java
@@ -178,7 +178,7 @@
         }
 
         @Override
-        protected void ended() {
+        protected void ended(Ending ending) {
             if (isWatch) {
                 LOG.info("the watch has ended and is opened anew", null);
                 owner.lost();
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -352,9 +352,9 @@
     }
 
     @Override
-    public void callOut(long id, long backend, long timeOutUs) {
+    public void callOut(long id, long backend, long timeOutUs, long beginWithinUs) {
         OpenRpc rpc = rpcs.get(id);
-        CallOut callOut = new CallOut(rpc, rpc.callOuts.size(), nowUs());
+        CallOut callOut = new CallOut(rpc, nowUs(), timeOutUs, beginWithinUs);
         rpc.callOuts.add(callOut);
         callOut.timeOut = loop.in(timeOutUs, () -> timedOut(callOut));
         Pool pool = directory.get(backend);
@@ -370,7 +370,7 @@
         } catch (IOException e) {
             LOG.warning("no connection to a backend", e.getMessage());
         }
-        if (connection == null || !connection.send(callOut, Math.max(1, timeOutUs / 1000))) {
+        if (connection == null || !connection.send(callOut)) {
             loop.soon(() -> ended(callOut, Outcome.CONNECT_FAILED, NO_REPORT));
         }
     }
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Link.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Link.java
@@ -67,8 +67,11 @@
     /** Bytes have come in. */
     protected abstract void received();
 
+    /** How the other side ended a connection: by the end of its stream, or by a reset, a refusal or a failure. */
+    public enum Ending { IN_ORDER, BROKEN }
+
     /** The other side has ended the connection, or it broke; called once, and not after close(). */
-    protected abstract void ended();
+    protected abstract void ended(Ending ending);
 
     /** The connection has come up. */
     protected void connected() {
@@ -115,7 +118,7 @@
         if (!(e instanceof IOException)) {
             new Log("link").fault("a connection's handling failed", e);
         }
-        end();
+        end(Ending.BROKEN);
     }
 
     /** Looks for bytes that have come in without having been told of; what they cause happens at once. */
@@ -124,7 +127,7 @@
             try {
                 read();
             } catch (IOException e) {
-                end();
+                end(Ending.BROKEN);
             }
         }
     }
@@ -154,7 +157,7 @@
         }
         if (end && !closed) {
             ended = true;
-            end();
+            end(Ending.IN_ORDER);
         } else if (!closed) {
             interest();
         }
@@ -170,7 +173,7 @@
         } catch (IOException e) {
             if (!breaking) {
                 breaking = true;
-                loop.soon(this::end);
+                loop.soon(() -> end(Ending.BROKEN));
             }
         }
     }
@@ -206,9 +209,9 @@
         }
     }
 
-    private void end() {
+    private void end(Ending ending) {
         if (!closed) {
-            ended();
+            ended(ending);
             close();
         }
     }
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
@@ -140,7 +140,7 @@
     }
 
     @Override
-    public void callOut(long id, long to, long timeOutUs) {
+    public void callOut(long id, long to, long timeOutUs, long beginWithinUs) {
         RpcHead.forward(client, request, timeOutUs / 1000, false, backend);
         backend.skip(backend.size());
         later.add(() -> {
--- a/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
@@ -58,18 +58,32 @@
         return idleSinceUs;
     }
 
+    /**
+     * Takes on a call-out. Its request is written once the connection is up, so that it states the time that is left then;
+     * false, and the connection is closed, where it does not fit.
+     */
+    public boolean send(CallOut sent) {
+        callOut = sent;
+        heardUs = 0;
+        sent.connection = this;
+        written = false;
+        if (isConnected() && !writeRequest()) {
+            detach();
+            close();
+            return false;
+        }
+        return true;
+    }
+
     /** Writes the RPC that stands at the front of its client's ring. */
-    public boolean send(CallOut sent, long waitMs) {
-        ClientConnection client = sent.rpc.client;
+    private boolean writeRequest() {
+        ClientConnection client = callOut.rpc.client;
         // Another front door is told how long the client waits, not when this one gives up: it goes by that for its soft deadline.
-        long leftMs = pool.isDoor ? Math.max(1, (sent.rpc.expiresAtUs - loop.nowUs()) / 1000) : waitMs;
+        long endsAtUs = pool.isDoor ? callOut.rpc.expiresAtUs : callOut.endsAtUs;
+        long leftMs = Math.max(1, (endsAtUs - loop.nowUs()) / 1000);
         if (!RpcHead.forward(client.bytes(), client.message(), leftMs, pool.isDoor, out)) {
             return false;
         }
-        callOut = sent;
-        heardUs = 0;
-        sent.connection = this;
-        written = false;
         flush();
         return true;
     }
@@ -80,11 +94,31 @@
             dial.cancel();
             dial = null;
         }
+        if (callOut == null) {
+            return;
+        }
+        if (callOut.rpc.client == null) {
+            endUnsent(Outcome.MOOT); // its client has gone, or has its answer
+        } else if (loop.nowUs() >= callOut.beginByUs || !pool.mayBegin()) {
+            endUnsent(Outcome.CONNECT_FAILED);
+        } else if (!writeRequest()) {
+            CallOut over = detach();
+            close();
+            owner.ended(over, Outcome.CONNECT_FAILED, NO_REPORT);
+        }
+    }
+
+    /** The connection came up too late for its call-out, and stays for another one. */
+    private void endUnsent(Outcome outcome) {
+        CallOut over = detach();
+        idleSinceUs = loop.nowUs();
+        pool.keep(this);
+        owner.ended(over, outcome, NO_REPORT);
     }
 
     private void notUp() {
         if (!isConnected() && !isClosed()) {
-            ended();
+            ended(Ending.BROKEN);
             close();
         }
     }
@@ -106,8 +140,6 @@
             } else if (reader.isUntilClose() && reader.status() != 200) {
                 reader.endAtHead();
                 whole(false);
-            } else if (reader.isUntilClose()) {
-                throw new BadMessage(400, "an answer that the connection's end ends cannot be known to be whole");
             } else if (heardUs == 0 && !in.isEmpty()) {
                 heardUs = loop.nowUs();
                 lookIn(HALF_US, callOut);
@@ -174,10 +206,15 @@
     }
 
     @Override
-    protected void ended() {
+    protected void ended(Ending ending) {
         if (callOut == null) {
             return;
         }
+        if (ending == Ending.IN_ORDER && written && reader.isUntilClose()) {
+            reader.endAtClose();
+            whole(false);
+            return;
+        }
         owner.ended(detach(), written ? Outcome.RESET : Outcome.CONNECT_FAILED, NO_REPORT);
     }
 
--- a/src/main/java/hopdrum/frontdoor/memory/CallOut.java
+++ b/src/main/java/hopdrum/frontdoor/memory/CallOut.java
@@ -7,14 +7,18 @@
     public final OpenRpc rpc;
     public final int number;
     public final long sentUs;
+    public final long endsAtUs;     // Policy stops waiting for its answer
+    public final long beginByUs;    // later its request may not be written any more
     public BackendConnection connection; // null before it has one, and once it has ended
     public Loop.Timer timeOut;
     public boolean ended;
     public boolean passed;          // its answer, whatever it is, is the client's
 
-    public CallOut(OpenRpc rpc, int number, long sentUs) {
+    public CallOut(OpenRpc rpc, long sentUs, long timeOutUs, long beginWithinUs) {
         this.rpc = rpc;
-        this.number = number;
+        this.number = rpc.callOuts.size();
         this.sentUs = sentUs;
+        this.endsAtUs = sentUs + timeOutUs;
+        this.beginByUs = sentUs + beginWithinUs;
     }
 }
--- a/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
@@ -243,7 +243,7 @@
     }
 
     @Override
-    protected void ended() {
+    protected void ended(Ending ending) {
         // released() tells of the RPC, however the connection ends
     }
 
--- a/src/main/java/hopdrum/frontdoor/memory/CounterConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/CounterConnection.java
@@ -99,7 +99,7 @@
             return;
         }
         if (!isConnected() && !awaited.isEmpty() && loop.nowUs() - awaited.peek().sentUs >= timeOutUs) {
-            ended(); // never came up: nothing was written, and nothing shall be later
+            endCalls(); // never came up: nothing was written, and nothing shall be later
             close();
             return;
         }
@@ -145,7 +145,7 @@
                 reader.done(in);
                 report(call, outcome, total);
                 if ((!keeps || leaves && unanswered.isEmpty()) && !isClosed()) {
-                    ended();
+                    endCalls();
                     close();
                 }
             }
@@ -176,7 +176,11 @@
 
     /** What was written whole may have been added, or may yet be; the rest never is. */
     @Override
-    protected void ended() {
+    protected void ended(Ending ending) {
+        endCalls();
+    }
+
+    private void endCalls() {
         while (!unanswered.isEmpty()) {
             Call call = unanswered.poll();
             report(call, call.writtenAt <= written ? Outcome.RESET : Outcome.CONNECT_FAILED, 0);
@@ -186,7 +190,7 @@
 
     public void giveUp() {
         if (!isClosed()) {
-            ended();
+            endCalls();
             close();
         }
     }
--- a/src/main/java/hopdrum/frontdoor/memory/Directory.java
+++ b/src/main/java/hopdrum/frontdoor/memory/Directory.java
@@ -73,7 +73,7 @@
             Pool pool = byName.computeIfAbsent(entry.name, name -> new Pool(next++, entry.address, false));
             byNumber.put(pool.backend, pool);
             pool.moveTo(entry.address);
-            pool.listed(entry.state != Listed.State.GONE);
+            pool.told(entry.state);
             listed.add(new Listed(pool.backend, Math.max(0, zones.indexOf(entry.zone)),
                     Math.max(0, kinds.indexOf(entry.kind)), entry.cell, entry.state, entry.weight,
                     entry.bornMs * 1000)); // the loop's clock counts from the same moment
@@ -90,7 +90,7 @@
         for (Shards.Door door : doors) {
             Pool pool = byName.computeIfAbsent(prefix + door.name(), k -> new Pool(next++, Config.address("serves", door.address()), true));
             byNumber.put(pool.backend, pool);
-            pool.listed(true);
+            pool.told(Listed.State.READY);
             named.add(prefix + door.name());
             listed.add(new Listed(pool.backend, Math.max(0, zones.indexOf(door.site())), 0, 0, Listed.State.READY, 1, 0));
         }
--- a/src/main/java/hopdrum/frontdoor/memory/Pool.java
+++ b/src/main/java/hopdrum/frontdoor/memory/Pool.java
@@ -1,5 +1,6 @@
 package hopdrum.frontdoor.memory;
 
+import hopdrum.host.Listed;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -16,6 +17,7 @@
     private final Set<BackendConnection> open = new HashSet<>();        // one goes as it is closed
     private final Deque<BackendConnection> idle = new ArrayDeque<>();   // longest idle first; the same
     private boolean listed = true;
+    private boolean mayBegin = true;
 
     Pool(long backend, InetSocketAddress address, boolean isDoor) {
         this.backend = backend;
@@ -35,13 +37,25 @@
         }
     }
 
+    /** What discovery says of it now. */
+    void told(Listed.State state) {
+        mayBegin = state == Listed.State.READY;
+        listed(state != Listed.State.GONE);
+    }
+
     void listed(boolean isListed) {
         listed = isListed;
+        mayBegin &= listed;
         if (!listed) {
             closeIdle();
         }
     }
 
+    /** False once it was told to drain or withdrawn: a call-out whose connection comes up then is not begun. */
+    boolean mayBegin() {
+        return mayBegin;
+    }
+
     boolean isListed() {
         return listed;
     }
--- a/src/main/java/hopdrum/frontdoor/wire/HttpReader.java
+++ b/src/main/java/hopdrum/frontdoor/wire/HttpReader.java
@@ -90,6 +90,11 @@
         whole(headTo, headTo);
     }
 
+    /** The connection has ended in order: what has come is the body. A reset is no end. */
+    public void endAtClose() {
+        whole(bodyTo, bodyTo);
+    }
+
     /** Takes the message off the ring and starts anew. */
     public void done(Ring ring) {
         ring.skip(end);
--- a/src/main/java/hopdrum/host/Host.java
+++ b/src/main/java/hopdrum/host/Host.java
@@ -4,8 +4,13 @@
 public interface Host {
     long nowUs();
 
-    /** Sends an RPC to a backend; call-outs of one RPC are numbered 0, 1, 2 ... in the order sent. */
-    void callOut(long rpc, long backend, long timeOutUs);
+    /**
+     * Sends an RPC to a backend; call-outs of one RPC are numbered 0, 1, 2 ... in the order sent.
+     *
+     * @param timeOutUs after which nobody waits for its answer any more
+     * @param beginWithinUs within which its first byte has to leave; one that cannot begin by then never ran
+     */
+    void callOut(long rpc, long backend, long timeOutUs, long beginWithinUs);
 
     void cancelCallOut(long rpc, int callOut);
 
--- a/src/main/java/hopdrum/policy/Backends.java
+++ b/src/main/java/hopdrum/policy/Backends.java
@@ -47,7 +47,7 @@
         if (form != Listed.Form.CHANGES) backends.values().forEach(b -> b.ready = false);
         for (Listed entry : entries) {
             Backend backend = backends.computeIfAbsent(entry.backend(), id -> new Backend(entry));
-            if (backend.startedUs != entry.startedAtUs()) {
+            if (backend.listed.startedAtUs() != entry.startedAtUs()) {
                 backend = new Backend(entry);
                 backends.put(entry.backend(), backend);
             }
@@ -91,7 +91,7 @@
             if (!rpc.mayGoTo(b) || rpc.isOutAt(b) || !b.hasPlace(rpc.row)) continue;
             boolean last = rpc.tried(b) || now() < b.shunsUntilUs.getOrDefault(rpc.customer.plan, NEVER);
             double score = b.score() * (1 + 0.02 * random.nextDouble());
-            score = score + b.farUs() / rpc.row.leastUs; // near first, farther as the line there grows
+            score += b.farUs() / rpc.row.leastUs; // near first, farther as the line there grows
             score *= last || rpc.wouldBeLate(b.farUs()) ? 1000 : 1;
             if (score < bestScore) {
                 bestScore = score;
@@ -103,8 +103,6 @@
 
     final class Backend {
         final Listed listed;
-        final long id;
-        final long startedUs;
         boolean ready;
         double taken;               // work answered here of late, in cores
         long takenAtUs;
@@ -126,10 +124,11 @@
 
         Backend(Listed entry) {
             listed = entry;
-            id = entry.backend();
-            startedUs = entry.startedAtUs();
         }
 
+        /** Of one backend, which may have started anew between. */
+        boolean isSameAs(Backend other) { return listed.backend() == other.listed.backend(); }
+
         /** What the way to it and back takes; 0 without a map. Its answers' time is judged without it. */
         long farUs() { return host.distances() == null ? 0 : host.distances().rttUs(listed.zone()); }
 
@@ -146,9 +145,12 @@
             return (out + 1 + waiting) * slow / Math.pow(1 - Math.min(0.9, errors), 2);
         }
 
-        /** This gateway's share of what a backend just started can take, counted as work in a window. */
+        /**
+         * This gateway's share of what a backend just started can take, counted as work in a window. Guards against the
+         * sum of all gateways: where a share is less than a request, each has a slot of its own in the cycle that fills it.
+         */
         boolean coldAllows(Row row) {
-            long ageUs = now() - startedUs;
+            long ageUs = now() - listed.startedAtUs();
             if (!isCold()) {
                 sentWhileCold.clear();
                 return true;
@@ -159,25 +161,23 @@
             double budgetUs = COLD_MARGIN * settings.coldFactor() * part * windowUs * warmPeersTake()
                     / settings.gateways();
             double costUs = row.leastUs;
-            double spreadUs = windowUs * Math.max(1, costUs / budgetUs);
-            while (!sentWhileCold.isEmpty() && sentWhileCold.peek()[0] < now() - spreadUs) {
-                sentWhileCold.poll();
+            double cycleUs = windowUs * Math.max(1, costUs / budgetUs);
+            while (!sentWhileCold.isEmpty() && sentWhileCold.peek()[0] < now() - cycleUs) sentWhileCold.poll();
+            if (!sentWhileCold.isEmpty()) {
+                return sentWhileCold.stream().mapToLong(s -> s[1]).sum() + costUs <= budgetUs;
             }
-            double spentUs = sentWhileCold.stream().mapToLong(s -> s[1]).sum();
-            return sentWhileCold.isEmpty() ? ageUs >= spreadUs * settings.ordinal() / settings.gateways()
-                    : spentUs + costUs <= budgetUs;
+            double turnUs = ageUs - cycleUs * settings.ordinal() / settings.gateways(); // since its first slot began
+            return turnUs >= 0;
         }
 
-        void sentCold(Row row) {
-            if (isCold()) sentWhileCold.add(new long[] {now(), (long) row.leastUs});
-        }
+        void sentCold(Row row) { if (isCold()) sentWhileCold.add(new long[] {now(), (long) row.leastUs}); }
 
         /** Cores' worth of work that a warm backend of this size is seen to take; never under one core. */
         double warmPeersTake() {
             double taken = 0;
             double size = 0;
             for (Backend b : backends.values()) {
-                if (b.ready && !b.isCold() && now() >= b.ejectedUntilUs) {
+                if (b.usable() && !b.isCold()) {
                     taken += b.takenNow();
                     size += settings.weightIsSize() ? b.listed.weight() : 1;
                 }
@@ -186,17 +186,16 @@
             return size <= 0 ? 1 : Math.max(1, taken / size * mySize * settings.gateways());
         }
 
-        double takenNow() {
-            return taken * Math.exp((takenAtUs - now()) / TAKEN_OVER_US);
-        }
+        double takenNow() { return taken * Math.exp((takenAtUs - now()) / TAKEN_OVER_US); }
 
-        boolean isCold() { return startedUs != 0 && now() - startedUs < settings.warmAfterUs(); }
+        boolean isCold() {
+            return listed.startedAtUs() != 0 && now() - listed.startedAtUs() < settings.warmAfterUs();
+        }
 
         /** Never ejects all: at least half of the ready ones stay. */
         void eject() {
-            long away = backends.values().stream().filter(b -> b.ready && now() < b.ejectedUntilUs).count();
-            long ready = backends.values().stream().filter(b -> b.ready).count();
-            if (!usable() || (away + 1) * 2 > ready) return;
+            long away = backends.values().stream().filter(b -> !b.usable()).count();
+            if (!usable() || (away + 1) * 2 > backends.size()) return;
             ejectedUntilUs = now() + ejectUs;
             ejectUs = Math.min(LAST_EJECT_US, ejectUs * 2);
             onTrial = true;
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -169,7 +169,8 @@
         backend.out++;
         backend.sentCold(rpc.row);
         // Its time-out is when this gateway gives up: a backend need not begin what nobody waits for.
-        host.callOut(rpc.id, backend.id, Math.max(1, rpc.giveUpAtUs - now()));
+        long timeOutUs = Math.max(1, rpc.giveUpAtUs - now());
+        host.callOut(rpc.id, backend.listed.backend(), timeOutUs, Math.min(timeOutUs, rpc.repeatByUs() - now()));
         at(now() + rpc.row.patienceUs() + backend.farUs(), () -> overdue(rpc, callOut));
     }
 
@@ -332,11 +333,7 @@
             }
         }
 
-        private int outCount() {
-            int count = 0;
-            for (CallOut c : callOuts) count += c.out ? 1 : 0;
-            return count;
-        }
+        private long outCount() { return callOuts.stream().filter(c -> c.out).count(); }
 
         private CallOut firstThatMayHaveRun() {
             return callOuts.stream().filter(c -> !c.neverRan).findFirst().orElse(null);
@@ -359,11 +356,17 @@
                     || tier == tiers.get(0) && row.method.repeat() != Method.Repeat.NON_IDEMPOTENT);
         }
 
+        /** Backends may run it anew after this: a further call-out has to begin before, however late its connection is. */
+        private long repeatByUs() {
+            CallOut first = firstThatMayHaveRun();
+            boolean windowed = first != null && row.method.repeat() == Method.Repeat.DEDUPLICATED;
+            return windowed ? first.sentUs + row.method.windowUs() - 2 * settings.tickUs() : Long.MAX_VALUE;
+        }
+
         boolean mayGoTo(Backend b) {
             CallOut first = firstThatMayHaveRun();
             if (first == null || row.method.repeat() == Method.Repeat.IDEMPOTENT) return true;
-            return row.method.repeat() == Method.Repeat.DEDUPLICATED
-                    && now() < first.sentUs + row.method.windowUs() - 2 * settings.tickUs()
+            return row.method.repeat() == Method.Repeat.DEDUPLICATED && now() < repeatByUs()
                     && switch (row.method.group()) {
                         case ALL -> true;
                         case ZONE -> b.listed.zone() == first.backend.listed.zone();
@@ -371,10 +374,8 @@
                     };
         }
 
-        boolean tried(Backend b) { return callOuts.stream().anyMatch(c -> c.backend.id == b.id); }
+        boolean tried(Backend b) { return callOuts.stream().anyMatch(c -> c.backend.isSameAs(b)); }
 
-        boolean isOutAt(Backend b) {
-            return callOuts.stream().anyMatch(c -> c.out && c.backend.id == b.id);
-        }
+        boolean isOutAt(Backend b) { return callOuts.stream().anyMatch(c -> c.out && c.backend.isSameAs(b)); }
     }
 }
--- a/src/test/java/hopdrum/policy/FakeHost.java
+++ b/src/test/java/hopdrum/policy/FakeHost.java
@@ -16,9 +16,11 @@
     static final float[] NO_REPORT = {};
     final List<String> asked = new ArrayList<>();
     final List<Long> names = new ArrayList<>();
+    final List<Long> beginWithin = new ArrayList<>(); // of each call-out
     Method method = new Method(2_000_000, 7_500_000, Method.Repeat.IDEMPOTENT, Method.Group.ALL, 0, 0, false);
     Plan plan = new Plan(2, 4, 0, 0, 0, 0);
     int gateways = 2;
+    int ordinal;
     boolean secondCopies = true;
     long clockUs = 90_000_000;
     Policy policy;
@@ -30,7 +32,7 @@
     private long lastId;
 
     FakeHost start(int backends) {
-        policy = new Policy(new Settings(gateways, 0, 1_000, List.of(method), List.of(plan), true, 50_000, true, false,
+        policy = new Policy(new Settings(gateways, ordinal, 1_000, List.of(method), List.of(plan), true, 50_000, true, false,
                 3, true, true, 1_000_000, secondCopies, false, false, List.of("depth"), 0.2, 10_000_000, 2, 1_500_000), 7, this);
         for (int i = 1; i <= backends; i++) {
             list(i, Listed.State.READY, 0);
@@ -119,8 +121,9 @@
     }
 
     @Override
-    public void callOut(long rpc, long backend, long timeOutUs) {
+    public void callOut(long rpc, long backend, long timeOutUs, long beginWithinUs) {
         asked.add("call-out " + rpc + " to " + backend);
+        beginWithin.add(beginWithinUs);
     }
 
     @Override
--- a/src/test/java/hopdrum/policy/RulesStoryTest.java
+++ b/src/test/java/hopdrum/policy/RulesStoryTest.java
@@ -74,6 +74,29 @@
         assertThat(door.heard("call-out 1 ")).hasSize(before);
     }
 
+    @Test
+    void aRepeatIsToldByWhenItHasToBeginHoweverLateItsConnectionIs() {
+        method(Method.Repeat.DEDUPLICATED, Method.Group.ALL);
+        door.start(4);
+        Policy.Rpc rpc = door.takeInQuota();
+        door.pass(300_000);
+        door.end(rpc, 0, Outcome.ERROR, 300_000);
+        assertThat(door.heard("call-out 1 ")).hasSize(2);
+        assertThat(door.beginWithin.get(1)).as("a window of 1 s, from the first").isBetween(600_000L, 700_000L);
+    }
+
+    @Test
+    void aRequestWhoseClientLeavesWhileItsCountIsOutIsNeverSentOnAndItsUnitsGoBack() {
+        door.start(3);
+        Policy.Rpc rpc = door.take();
+        rpc.clientLeft();
+        assertThat(rpc.over()).isTrue();
+        door.answer(2);
+        door.pass(3_000_000);
+        assertThat(door.heard("call-out")).isEmpty();
+        assertThat(door.heard("add")).containsExactly("add 1.0", "add -1.0");
+    }
+
     @Test
     void whereTwoCallOutsAtOnceAreForbiddenTheFirstIsCancelledBeforeAnotherAndOnlyAwayFromAnEjectedBackend() {
         door.secondCopies = false;
