At SIGTERM a resting connection gets an end and a while, not a close that may reset

Cause: Clients.closeIfIdle() reads, then closes; bytes that come between the two, or later, meet a reset (aRequestThatCrossesTheCloseOfARestingConnection: on the program as found the process had ended under the client's request). A lingering connection was closed to make room however short its last answer was ago.

Now, on the way out: end of stream, then what still comes is dropped until the other end or 1 s (ClientConnection.linger, the one path of all last answers too). To make room, a lingering connection has 50 ms first; the idle are closed at once as before, since a descriptor is needed then. The process may end up to 1 s later where clients do not close.

--- a/src/main/java/hopdrum/frontdoor/Clients.java
+++ b/src/main/java/hopdrum/frontdoor/Clients.java
@@ -111,7 +111,7 @@
      * not idle, and one that came or was answered a moment ago may be writing.
      */
     private void shed() {
-        if (!lingering.isEmpty()) {
+        if (!lingering.isEmpty() && loop.nowUs() - lingering.iterator().next().idleSinceUs() >= LEAST_SILENT_US) {
             lingering.iterator().next().close();
         } else if (!shed(silent, LEAST_SILENT_US)) {
             shed(idle, LEAST_IDLE_US);
@@ -142,6 +142,14 @@
         return isIdle;
     }
 
+    /** There is time: what crosses the end on its way here meets no reset. */
+    private static void finishIfIdle(ClientConnection client) {
+        client.readNow();
+        if (client.isIdle()) {
+            client.finish();
+        }
+    }
+
     private void pause(String why) {
         LOG.warning("accepting pauses", why);
         if (!paused && key != null && key.isValid()) {
@@ -176,7 +184,7 @@
     public void idle(ClientConnection client) {
         idle.add(client);
         if (stopping && !listener.isOpen()) {
-            closeIfIdle(client);
+            finishIfIdle(client);
         }
     }
 
@@ -229,7 +237,7 @@
         } catch (IOException e) {
             LOG.warning("the listening socket did not close cleanly", e.getMessage());
         }
-        new ArrayList<>(open).forEach(Clients::closeIfIdle);
+        new ArrayList<>(open).forEach(Clients::finishIfIdle);
     }
 
     boolean isEmpty() {
--- a/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
@@ -229,11 +229,25 @@
     protected void drained() {
         stopClock();
         if (closing && !isClosed()) {
-            endSending(); // closing at once could reset the connection under the answer
-            if (!isClosed()) {
-                slow = loop.in(LINGER_US, this::close);
-                owner.lingers(this);
-            }
+            linger();
+        }
+    }
+
+    /** Ends a connection that is idle. */
+    public void finish() {
+        stopClock();
+        closing = true;
+        owner.busy(this);
+        linger();
+    }
+
+    /** Closing at once could reset the connection under its last answer: the other end has a while to close first. */
+    private void linger() {
+        endSending();
+        if (!isClosed()) {
+            idleSinceUs = loop.nowUs();
+            slow = loop.in(LINGER_US, this::close);
+            owner.lingers(this);
         }
     }
 
--- a/src/test/java/hopdrum/frontdoor/EndingPathsTest.java
+++ b/src/test/java/hopdrum/frontdoor/EndingPathsTest.java
@@ -162,6 +162,21 @@
         assertThat(backend.requests).hasSize(1);
     }
 
+    @Test
+    void aRequestThatCrossesTheCloseOfARestingConnectionIsNotSentOnAndMeetsNoReset() throws Exception {
+        start();
+        Client resting = new Client();
+        assertThat(resting.send(rpc("t1", "order", "")).hears()).endsWith("for t1");
+        loop.ask(door::stop);
+        assertThat(resting.hears()).as("closed while it rests").isNull();
+        resting.send(rpc("t2", "order", ""));
+        settle();
+        assertThat(resting.socket.getInputStream().read()).as("an end, no reset").isEqualTo(-1);
+        assertThat(backend.requests).hasSize(1);
+        resting.socket.close();
+        running.get(10, TimeUnit.SECONDS);
+    }
+
     @Test
     void aLongAnswerThatItsClientReadsOnlyAfterTheProcessHasEndedIsWhole() throws Exception {
         String body = "0123456789abcdef".repeat(60_000);
