A watch opened for a silent one has 1 s for its first word, so news comes inside its 6 s

Cause: Discovery.look() gave each watch 3 s, also one opened because the one before had fallen silent: a silent watch and two that say nothing were 9 s (aWatchSilentAfterAListAndTheNextTwo..., 9.08 s on the program as found), and what discovery had counts as told after 6.

Looks are 100 ms apart, not 250.

Excluded by tests that passed before too: silent from the first byte, dribbling without a line, ended or reset between and amid lines, a whole list that omits a backend, SIGHUP with the old address dead.

--- a/src/main/java/hopdrum/frontdoor/Discovery.java
+++ b/src/main/java/hopdrum/frontdoor/Discovery.java
@@ -15,8 +15,12 @@
 final class Discovery {
     private static final Log LOG = new Log("discovery");
     private static final int MOST_BYTES = 64 << 10;
+    // What a silent watch misses counts as told 6 s later: the silence, and two new watches that say nothing, stay within.
     private static final long SILENT_US = 3_000_000;    // an empty line comes every 2 s: guards against a silent connection
-    private static final long AGAIN_US = 250_000;
+    private static final long FIRST_WORD_US = 1_000_000; // of a watch opened for a silent one: it is answered at once
+    private static final long MOST_FIRST_WORD_US = 2_000_000; // each further one is waited for longer, an outage may last
+    private static final long LOOK_US = 100_000;
+    private static final long CUT_US = 125_000;         // no bytes amid a message for so long: it was cut short
     private static final long NO_LIST_US = 1_000_000;   // a list that is asked for comes at once
 
     /** Who is told of the list. */
@@ -37,6 +41,7 @@
     private Connection fetch;
     private Connection former;      // the watch at the address before, until the new one has told its whole list
     private long lastHeardUs;
+    private long firstWordUs = SILENT_US;   // what a new watch has for its first word
     private boolean wholeNeeded;
     private boolean closed;
 
@@ -55,7 +60,7 @@
     private void keepUp() {
         if (!closed) {
             look();
-            loop.in(AGAIN_US, this::keepUp);
+            loop.in(LOOK_US, this::keepUp);
         }
     }
 
@@ -75,11 +80,13 @@
     }
 
     private void look() {
-        if (watch != null && loop.nowUs() - watch.readUs > AGAIN_US / 2) {
+        if (watch != null && loop.nowUs() - watch.readUs > CUT_US) {
             watch.reader.endsOpenMessage(); // cut short: guards against waiting for the next line, 2 s, to see it
         }
-        if (watch != null && loop.nowUs() - lastHeardUs > (wholeNeeded ? NO_LIST_US : SILENT_US)) {
+        if (watch != null && loop.nowUs() - lastHeardUs > patienceUs()) {
             LOG.warning("the watch is silent and opened anew", null);
+            boolean first = watch.hasSpoken || firstWordUs == SILENT_US;
+            firstWordUs = first ? FIRST_WORD_US : Math.min(MOST_FIRST_WORD_US, firstWordUs * 3 / 2);
             watch.close();
             owner.lost();
         }
@@ -92,6 +99,13 @@
         }
     }
 
+    private long patienceUs() {
+        if (wholeNeeded) {
+            return NO_LIST_US;
+        }
+        return watch.hasSpoken ? SILENT_US : firstWordUs;
+    }
+
     private Connection open(boolean isWatch) {
         try {
             return new Connection(isWatch);
@@ -117,7 +131,10 @@
 
     private void line(String line, Connection from) {
         boolean isWatch = from == watch;
-        lastHeardUs = isWatch ? loop.nowUs() : lastHeardUs;
+        if (isWatch) {
+            lastHeardUs = loop.nowUs();
+            watch.hasSpoken = true;
+        }
         if (line.isEmpty()) {
             return;
         }
@@ -151,6 +168,7 @@
     private final class Connection extends Link {
         private final boolean isWatch;
         private final DiscoveryReader reader;
+        private boolean hasSpoken;
         private long readUs = Discovery.this.loop.nowUs();
 
         Connection(boolean isWatch) throws IOException {
@@ -181,6 +199,7 @@
         protected void ended(Ending ending) {
             if (isWatch) {
                 LOG.info("the watch has ended and is opened anew", null);
+                firstWordUs = SILENT_US; // guards a service that answers its callers in turn after an outage
                 owner.lost();
             }
         }
--- a/src/test/java/hopdrum/frontdoor/EndingPathsTest.java
+++ b/src/test/java/hopdrum/frontdoor/EndingPathsTest.java
@@ -409,6 +409,16 @@
         assertThat(secondsUntil(c)).isLessThan(5);
     }
 
+    @Test
+    void aWatchSilentAfterAListAndTheNextTwoSilentFromTheirFirstByteAreOpenedAnewBeforeTheirNewsIsDue() throws Exception {
+        StandIn c = new StandIn(request -> ok("c"));
+        start();
+        assertThat(discovery.asked()).contains("watch=1");
+        discoverySpeaksAfter(2, c);
+        discovery.say(chunk("\n"));
+        assertThat(secondsUntil(c)).as("6 s after the silence began it counts as told").isLessThan(5.95);
+    }
+
     @Test
     void aWatchThatDribblesWithoutEverEndingALineIsSilent() throws Exception {
         StandIn c = new StandIn(request -> ok("c"));
