Each gateway has a slot of its own at a cold backend where its share is under a request

Cause: Backends.coldAllows() let the first request of each gateway pass once its turn by ordinal had come in the backend's first cycle.

Now the turn comes round with each cycle (the time in which the gateway's share fills a request) and stays open for half a window, so whoever is told late or forgets waits for its own.

--- a/src/main/java/hopdrum/policy/Backends.java
+++ b/src/main/java/hopdrum/policy/Backends.java
@@ -26,6 +26,7 @@
     private static final long LAST_EJECT_US = 8_000_000;
     private static final double SLOW_FULL = 0.05;      // of the soft deadline: a full backend says so sooner
     private static final double COLD_MARGIN = 0.5;
+    private static final double COLD_SLOT = 0.5;       // of a window: how long a gateway's slot stays open
     private static final long AGE_NOISE_US = 20_000;   // two first tries differ by less, on their way here
     private static final double TAKEN_OVER_US = 3e6;
 
@@ -167,7 +168,7 @@
                 return sentWhileCold.stream().mapToLong(s -> s[1]).sum() + costUs <= budgetUs;
             }
             double turnUs = ageUs - cycleUs * settings.ordinal() / settings.gateways(); // since its first slot began
-            return turnUs >= 0;
+            return turnUs >= 0 && (costUs <= budgetUs || turnUs % cycleUs < windowUs * COLD_SLOT);
         }
 
         void sentCold(Row row) { if (isCold()) sentWhileCold.add(new long[] {now(), (long) row.leastUs}); }
