What is pipelined is answered before its connection closes; who says nothing gets an end

Cause: ClientConnection.answered(last) drops what lies in the buffer behind the message it answers. At SIGTERM, or while accepting pauses for want of descriptors, requests that had been taken (read whole) got no answer (requestsPipelinedBeforeSigterm...: the first answer closed). A connection that says nothing was closed after 2 s, which resets a request that is on its way just then.

Now an answer closes its connection only if nothing has come in behind the message, or once the listening socket is closed, half a second after SIGTERM, so that a client who always has one more ready can't hold the process up. Who says nothing is ended like all others: end of stream, up to 1 s of reading; it makes room before others as before.

--- a/src/main/java/hopdrum/frontdoor/Clients.java
+++ b/src/main/java/hopdrum/frontdoor/Clients.java
@@ -217,7 +217,10 @@
     }
 
     @Override
-    public boolean closesWithAnswer() {
+    public boolean closesWithAnswer(boolean moreIsHere) {
+        if (moreIsHere && listener.isOpen()) {
+            return false; // what has been taken is owed an answer; it has half a second for them once the process ends
+        }
         return stopping || paused; // while others wait for room a client is told to come back on a new connection
     }
 
--- a/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
@@ -29,8 +29,12 @@
 
         void released(ClientConnection client);
 
-        /** True while connections are to close with their next answer. */
-        boolean closesWithAnswer();
+        /**
+         * True while connections are to close with their next answer.
+         *
+         * @param moreIsHere whether bytes of a further message have come in behind the one that is answered
+         */
+        boolean closesWithAnswer(boolean moreIsHere);
     }
 
     private static final Log LOG = new Log("clients");
@@ -142,7 +146,7 @@
         slow = null;
         readNow();
         if (!isClosed() && isIdle()) {
-            close();
+            finish(); // it may be about to ask
         }
     }
 
@@ -175,7 +179,7 @@
 
     /** A backend's whole answer, which is still in that backend's ring; false if it could not be held. */
     public boolean answer(Ring from, HttpReader answer) {
-        boolean last = !reader.keepAlive() || owner.closesWithAnswer();
+        boolean last = !reader.keepAlive() || owner.closesWithAnswer(in.size() > reader.end());
         if (!HttpWriter.answer(from, answer, last, out)) {
             return false;
         }
@@ -185,7 +189,7 @@
 
     /** An answer of this program's own. */
     public void answer(int status, long retryAfterUs, boolean close) {
-        boolean last = close || !reader.keepAlive() || owner.closesWithAnswer();
+        boolean last = close || !reader.keepAlive() || owner.closesWithAnswer(in.size() > reader.end());
         if (!HttpWriter.plain(status, retryAfterUs, last, out)) {
             loop.soon(this::close);
             return;
