Who can only be late any more goes back while others wait in line

Cause: Policy.pump() gives places to who must start soonest. Excluded: cold backends (no fall, ramp kept), places (they shrank to their least), the counter (under 7 in 100 turned away).

Now who is past the time to start, with no attempt yet, is pushed back while anybody else waits; alone in line it is still served late.

--- a/src/main/java/hopdrum/policy/Backends.java
+++ b/src/main/java/hopdrum/policy/Backends.java
@@ -156,8 +156,7 @@
                 sentWhileCold.clear();
                 return true;
             }
-            double ramp = (double) Math.max(0, ageUs) / settings.warmAfterUs();
-            double part = settings.coldFrom() + (1 - settings.coldFrom()) * ramp;
+            double part = settings.coldFrom() + (1 - settings.coldFrom()) * Math.max(0, ageUs) / settings.warmAfterUs();
             double windowUs = settings.coldWindowUs();
             double budgetUs = COLD_MARGIN * settings.coldFactor() * part * windowUs * warmPeersTake()
                     / settings.gateways();
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -136,7 +136,9 @@
         List<Rpc> bound = new ArrayList<>(0);
         while (!tier.line.isEmpty()) {
             Rpc rpc = tier.line.peek();
-            if (rpc.callOuts.isEmpty() && rpc.isTooLate()) {
+            // Guards against a line in which those who can only be late go first, and make all behind them late too.
+            boolean late = rpc.isTooLate() || now() > rpc.startByUs && tier.line.size() > 1;
+            if (rpc.callOuts.isEmpty() && late) {
                 tier.line.poll();
                 finish(rpc, rpc.customer.returnIn(rpc.row.usualUs(), rpc.units)); // too late
                 continue;
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -125,6 +125,22 @@
                 .startsWith("add -");
     }
 
+    @Test
+    void whoCanOnlyBeLateGoesBackWhileOthersWaitAndIsServedLateWhereNobodyDoes() {
+        door.method = new Method(2_000_000, 7_500_000, Method.Repeat.IDEMPOTENT, Method.Group.ALL, 0, 0.2, false);
+        door.start(1);
+        List<Policy.Rpc> taken = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            taken.add(door.takeInQuota());
+        }
+        int sent = door.heard("call-out").size();
+        door.pass(1_990_000);
+        assertThat(door.heard("push back")).as("all that wait, but one").hasSize(8 - sent - 1);
+        door.end(taken.get(0), 0, Outcome.OK, 1_990_000);
+        assertThat(door.heard("call-out")).as("a place is free, and nobody else waits").hasSize(sent + 1);
+        assertThat(door.heard("abort")).isEmpty();
+    }
+
     @Test
     void aClientsRepeatPastItsSoftDeadlineTakesNoUnits() {
         door.start(3);
