--- a/src/main/java/hopdrum/benchlink/Instance.java
+++ b/src/main/java/hopdrum/benchlink/Instance.java
@@ -109,7 +109,7 @@
 
     private void done(ByteBuffer in) throws MalformedRecord {
         long id = unsigned(in);
-        int callOut = in.getShort() & 0xffff;
+        int attempt = in.getShort() & 0xffff;
         in.getInt();
         Outcome outcome = outcome(in.getShort());
         long tookUs = unsigned(in);
@@ -119,19 +119,19 @@
         float[] report = report(in);
         Policy.Rpc rpc = open.get(id);
         if (rpc != null) {
-            rpc.callOutEnded(callOut, outcome, tookUs, over, settled, report);
+            rpc.attemptEnded(attempt, outcome, tookUs, over, settled, report);
             keep(id, rpc);
         }
     }
 
     private void headers(ByteBuffer in) {
         long id = unsigned(in);
-        int callOut = in.getShort() & 0xffff;
+        int attempt = in.getShort() & 0xffff;
         in.getInt();
         in.getInt();
         Policy.Rpc rpc = open.get(id);
         if (rpc != null) {
-            rpc.streamStarted(callOut);
+            rpc.streamStarted(attempt);
         }
     }
 
@@ -190,7 +190,7 @@
         }
     }
 
-    /** One that is answered on a count's or a timer's news is over at once, unless call-outs are still out. */
+    /** One that is answered on a count's or a timer's news is over at once, unless attempts are still out. */
     private void answered(long id) {
         Policy.Rpc rpc = open.get(id);
         if (rpc != null && rpc.over()) {
@@ -250,13 +250,13 @@
     }
 
     @Override
-    public void callOut(long rpc, long backend, long timeOutUs, long beginWithinUs) {
+    public void startAttempt(long rpc, long backend, long timeOutUs, long beginWithinUs) {
         reply.record(80, number, 17).putInt((int) rpc).putInt((int) timeOutUs).putInt((int) backend);
     }
 
     @Override
-    public void cancelCallOut(long rpc, int callOut) {
-        reply.record(83, number, 11).putInt((int) rpc).putShort((short) callOut);
+    public void cancelAttempt(long rpc, int attempt) {
+        reply.record(83, number, 11).putInt((int) rpc).putShort((short) attempt);
     }
 
     @Override
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -5,7 +5,7 @@
 import hopdrum.frontdoor.lifecycle.Loop;
 import hopdrum.frontdoor.memory.BackendConnection;
 import hopdrum.frontdoor.memory.Budget;
-import hopdrum.frontdoor.memory.CallOut;
+import hopdrum.frontdoor.memory.Attempt;
 import hopdrum.frontdoor.memory.ClientConnection;
 import hopdrum.frontdoor.memory.Directory;
 import hopdrum.frontdoor.memory.OpenRpc;
@@ -278,11 +278,11 @@
     }
 
     @Override
-    public void pass(CallOut callOut, Ring bytes, HttpReader answer) {
-        ClientConnection client = callOut.rpc.client;
+    public void pass(Attempt attempt, Ring bytes, HttpReader answer) {
+        ClientConnection client = attempt.rpc.client;
         if (client != null) {
-            callOut.rpc.client = null;
-            callOut.passed = true;
+            attempt.rpc.client = null;
+            attempt.passed = true;
             tally.ok += answer.status() == 200 ? 1 : 0;
             tally.pushedBack += answer.status() == 429 || answer.status() == 503 ? 1 : 0;
             tally.aborted += answer.status() == 500 ? 1 : 0;
@@ -293,29 +293,29 @@
     }
 
     @Override
-    public void ended(CallOut callOut, Outcome outcome, float[] report) {
-        if (callOut.ended) {
+    public void ended(Attempt attempt, Outcome outcome, float[] report) {
+        if (attempt.ended) {
             return;
         }
-        callOut.ended = true;
-        callOut.timeOut.cancel();
-        OpenRpc rpc = callOut.rpc;
-        rpc.handle.callOutEnded(callOut.number, outcome, nowUs() - callOut.sentUs, outcome == Outcome.OK || callOut.passed, 0,
+        attempt.ended = true;
+        attempt.timeOut.cancel();
+        OpenRpc rpc = attempt.rpc;
+        rpc.handle.attemptEnded(attempt.number, outcome, nowUs() - attempt.sentUs, outcome == Outcome.OK || attempt.passed, 0,
                 report);
         rpcs.closeIfOver(rpc);
     }
 
-    private void timedOut(CallOut callOut) {
-        if (!callOut.ended) {
-            giveUp(callOut);
-            ended(callOut, Outcome.TIMED_OUT, NO_REPORT);
+    private void timedOut(Attempt attempt) {
+        if (!attempt.ended) {
+            giveUp(attempt);
+            ended(attempt, Outcome.TIMED_OUT, NO_REPORT);
         }
     }
 
-    private static void giveUp(CallOut callOut) {
-        if (callOut.connection != null) {
-            callOut.connection.giveUp();
-            callOut.connection = null;
+    private static void giveUp(Attempt attempt) {
+        if (attempt.connection != null) {
+            attempt.connection.giveUp();
+            attempt.connection = null;
         }
     }
 
@@ -352,14 +352,14 @@
     }
 
     @Override
-    public void callOut(long id, long backend, long timeOutUs, long beginWithinUs) {
+    public void startAttempt(long id, long backend, long timeOutUs, long beginWithinUs) {
         OpenRpc rpc = rpcs.get(id);
-        CallOut callOut = new CallOut(rpc, nowUs(), timeOutUs, beginWithinUs);
-        rpc.callOuts.add(callOut);
-        callOut.timeOut = loop.in(timeOutUs, () -> timedOut(callOut));
+        Attempt attempt = new Attempt(rpc, nowUs(), timeOutUs, beginWithinUs);
+        rpc.attempts.add(attempt);
+        attempt.timeOut = loop.in(timeOutUs, () -> timedOut(attempt));
         Pool pool = directory.get(backend);
         if (rpc.client == null || pool == null) {
-            loop.soon(() -> ended(callOut, Outcome.MOOT, NO_REPORT));
+            loop.soon(() -> ended(attempt, Outcome.MOOT, NO_REPORT));
             return;
         }
         BackendConnection connection = pool.takeIdle(nowUs());
@@ -370,8 +370,8 @@
         } catch (IOException e) {
             LOG.warning("no connection to a backend", e.getMessage());
         }
-        if (connection == null || !connection.send(callOut)) {
-            loop.soon(() -> ended(callOut, Outcome.CONNECT_FAILED, NO_REPORT));
+        if (connection == null || !connection.send(attempt)) {
+            loop.soon(() -> ended(attempt, Outcome.CONNECT_FAILED, NO_REPORT));
         }
     }
 
@@ -391,12 +391,12 @@
     }
 
     @Override
-    public void cancelCallOut(long id, int number) {
+    public void cancelAttempt(long id, int number) {
         OpenRpc rpc = rpcs.get(id);
-        CallOut callOut = rpc == null || number >= rpc.callOuts.size() ? null : rpc.callOuts.get(number);
-        if (callOut != null && !callOut.ended) {
-            giveUp(callOut);
-            loop.soon(() -> ended(callOut, Outcome.CANCELLED, NO_REPORT));
+        Attempt attempt = rpc == null || number >= rpc.attempts.size() ? null : rpc.attempts.get(number);
+        if (attempt != null && !attempt.ended) {
+            giveUp(attempt);
+            loop.soon(() -> ended(attempt, Outcome.CANCELLED, NO_REPORT));
         }
     }
 
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
@@ -140,7 +140,7 @@
     }
 
     @Override
-    public void callOut(long id, long to, long timeOutUs, long beginWithinUs) {
+    public void startAttempt(long id, long to, long timeOutUs, long beginWithinUs) {
         RpcHead.forward(client, request, timeOutUs / 1000, false, backend);
         backend.skip(backend.size());
         later.add(() -> {
@@ -156,14 +156,14 @@
                 HttpWriter.answer(backend, answer, false, toClient);
                 float[] report = BackendAnswer.report(backend, answer, config.settings().reportFields());
                 answer.done(backend);
-                rpc.callOutEnded(0, outcome, 500, true, 0, report);
+                rpc.attemptEnded(0, outcome, 500, true, 0, report);
             }
         });
     }
 
     @Override
-    public void cancelCallOut(long id, int callOut) {
-        // every call-out here is answered
+    public void cancelAttempt(long id, int attempt) {
+        // every attempt here is answered
     }
 
     @Override
--- a/src/main/java/hopdrum/frontdoor/memory/CallOut.java
+++ b/src/main/java/hopdrum/frontdoor/memory/Attempt.java
@@ -3,7 +3,7 @@
 import hopdrum.frontdoor.lifecycle.Loop;
 
 /** One sending of an RPC to a backend. */
-public final class CallOut {
+public final class Attempt {
     public final OpenRpc rpc;
     public final int number;
     public final long sentUs;
@@ -14,9 +14,9 @@
     public boolean ended;
     public boolean passed;          // its answer, whatever it is, is the client's
 
-    public CallOut(OpenRpc rpc, long sentUs, long timeOutUs, long beginWithinUs) {
+    public Attempt(OpenRpc rpc, long sentUs, long timeOutUs, long beginWithinUs) {
         this.rpc = rpc;
-        this.number = rpc.callOuts.size();
+        this.number = rpc.attempts.size();
         this.sentUs = sentUs;
         this.endsAtUs = sentUs + timeOutUs;
         this.beginByUs = sentUs + beginWithinUs;
--- a/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/BackendConnection.java
@@ -13,14 +13,14 @@
 import java.io.IOException;
 import java.util.List;
 
-/** A connection to a backend: one call-out at a time, kept for the next one where the backend keeps it. */
+/** A connection to a backend: one attempt at a time, kept for the next one where the backend keeps it. */
 public final class BackendConnection extends Link {
-    /** Who is told how call-outs end. */
+    /** Who is told how attempts end. */
     public interface Owner {
         /** A whole answer that was asked for: its client gets it. The connection's bytes stand until this returns. */
-        void pass(CallOut callOut, Ring bytes, HttpReader answer);
+        void pass(Attempt attempt, Ring bytes, HttpReader answer);
 
-        void ended(CallOut callOut, Outcome outcome, float[] report);
+        void ended(Attempt attempt, Outcome outcome, float[] report);
 
         void released(BackendConnection connection);
     }
@@ -33,8 +33,8 @@
     private final Pool pool;
     private final List<String> reportFields;
     private final HttpReader reader = new HttpReader(HttpReader.Kind.RESPONSE);
-    private CallOut callOut;
-    private boolean written;       // the call-out's last byte
+    private Attempt attempt;
+    private boolean written;       // the attempt's last byte
     private Loop.Timer dial;
     private long idleSinceUs;
     private long heardUs;          // the last bytes of an answer that is not whole; 0 before
@@ -59,11 +59,11 @@
     }
 
     /**
-     * Takes on a call-out. Its request is written once the connection is up, so that it states the time that is left then;
+     * Takes on an attempt. Its request is written once the connection is up, so that it states the time that is left then;
      * false, and the connection is closed, where it does not fit.
      */
-    public boolean send(CallOut sent) {
-        callOut = sent;
+    public boolean send(Attempt sent) {
+        attempt = sent;
         heardUs = 0;
         sent.connection = this;
         written = false;
@@ -77,9 +77,9 @@
 
     /** Writes the RPC that stands at the front of its client's ring. */
     private boolean writeRequest() {
-        ClientConnection client = callOut.rpc.client;
+        ClientConnection client = attempt.rpc.client;
         // Another front door is told how long the client waits, not when this one gives up: it goes by that for its soft deadline.
-        long endsAtUs = pool.isDoor ? callOut.rpc.expiresAtUs : callOut.endsAtUs;
+        long endsAtUs = pool.isDoor ? attempt.rpc.expiresAtUs : attempt.endsAtUs;
         long leftMs = Math.max(1, (endsAtUs - loop.nowUs()) / 1000);
         if (!RpcHead.forward(client.bytes(), client.message(), leftMs, pool.isDoor, out)) {
             return false;
@@ -94,23 +94,23 @@
             dial.cancel();
             dial = null;
         }
-        if (callOut == null) {
+        if (attempt == null) {
             return;
         }
-        if (callOut.rpc.client == null) {
+        if (attempt.rpc.client == null) {
             endUnsent(Outcome.MOOT); // its client has gone, or has its answer
-        } else if (loop.nowUs() >= callOut.beginByUs || !pool.mayBegin()) {
+        } else if (loop.nowUs() >= attempt.beginByUs || !pool.mayBegin()) {
             endUnsent(Outcome.CONNECT_FAILED);
         } else if (!writeRequest()) {
-            CallOut over = detach();
+            Attempt over = detach();
             close();
             owner.ended(over, Outcome.CONNECT_FAILED, NO_REPORT);
         }
     }
 
-    /** The connection came up too late for its call-out, and stays for another one. */
+    /** The connection came up too late for its attempt, and stays for another one. */
     private void endUnsent(Outcome outcome) {
-        CallOut over = detach();
+        Attempt over = detach();
         idleSinceUs = loop.nowUs();
         pool.keep(this);
         owner.ended(over, outcome, NO_REPORT);
@@ -130,7 +130,7 @@
 
     @Override
     protected void received() {
-        if (callOut == null) {
+        if (attempt == null) {
             close(); // bytes that answer nothing
             return;
         }
@@ -142,7 +142,7 @@
                 whole(false);
             } else if (heardUs == 0 && !in.isEmpty()) {
                 heardUs = loop.nowUs();
-                lookIn(HALF_US, callOut);
+                lookIn(HALF_US, attempt);
             } else {
                 heardUs = loop.nowUs();
             }
@@ -154,18 +154,18 @@
     /** It has run, and any backend's answer may be spoilt so. */
     private void unreadable(String why) {
         LOG.warning("a backend's answer cannot be read", why);
-        CallOut over = detach();
+        Attempt over = detach();
         close();
         owner.ended(over, Outcome.UNREADABLE, NO_REPORT);
     }
 
     /** Guards against an answer that begins and does not go on: its client would wait for nothing. */
-    private void lookIn(long delayUs, CallOut of) {
+    private void lookIn(long delayUs, Attempt of) {
         loop.in(delayUs, () -> {
             long leftUs = heardUs + HALF_US - loop.nowUs();
-            if (callOut == of && !isClosed() && leftUs > 0) {
+            if (attempt == of && !isClosed() && leftUs > 0) {
                 lookIn(leftUs, of);
-            } else if (callOut == of && !isClosed()) {
+            } else if (attempt == of && !isClosed()) {
                 unreadable("it stops halfway");
             }
         });
@@ -173,7 +173,7 @@
 
     /** The client first, then the connection's next use, then the news of it, upon which that use may come. */
     private void whole(boolean keeps) {
-        CallOut over = detach();
+        Attempt over = detach();
         Outcome outcome = pool.isDoor ? BackendAnswer.outcomeOfDoor(reader) : BackendAnswer.outcome(in, reader);
         float[] report = BackendAnswer.report(in, reader, reportFields);
         if (outcome == Outcome.OK || pool.isDoor && HttpWriter.isAnswer(reader.status())) {
@@ -187,9 +187,9 @@
         owner.ended(over, outcome, report);
     }
 
-    private CallOut detach() {
-        CallOut over = callOut;
-        callOut = null;
+    private Attempt detach() {
+        Attempt over = attempt;
+        attempt = null;
         over.connection = null;
         return over;
     }
@@ -207,7 +207,7 @@
 
     @Override
     protected void ended(Ending ending) {
-        if (callOut == null) {
+        if (attempt == null) {
             return;
         }
         if (ending == Ending.IN_ORDER && written && reader.isUntilClose()) {
@@ -220,7 +220,7 @@
 
     /** Nobody waits any more: the backend sees the connection close. */
     public void giveUp() {
-        callOut = null;
+        attempt = null;
         close();
     }
 
--- a/src/main/java/hopdrum/frontdoor/memory/OpenRpc.java
+++ b/src/main/java/hopdrum/frontdoor/memory/OpenRpc.java
@@ -4,11 +4,11 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** One RPC under way: its handle at Policy, the client that waits for it, its call-outs. */
+/** One RPC under way: its handle at Policy, the client that waits for it, its attempts. */
 public final class OpenRpc {
     public final long id;
     final String trace;
-    public final List<CallOut> callOuts = new ArrayList<>(1);
+    public final List<Attempt> attempts = new ArrayList<>(1);
     public ClientConnection client;     // null once it has its answer, or has left
     public Policy.Rpc handle;
     public long expiresAtUs;            // the client waits no longer
--- a/src/main/java/hopdrum/frontdoor/memory/Pool.java
+++ b/src/main/java/hopdrum/frontdoor/memory/Pool.java
@@ -51,7 +51,7 @@
         }
     }
 
-    /** False once it was told to drain or withdrawn: a call-out whose connection comes up then is not begun. */
+    /** False once it was told to drain or withdrawn: an attempt whose connection comes up then is not begun. */
     boolean mayBegin() {
         return mayBegin;
     }
@@ -66,7 +66,7 @@
 
     /**
      * The last used of those that have rested. Guards against bytes that come just behind an answer (a second copy of
-     * it): they must not be there, or on their way, when the next call-out is written.
+     * it): they must not be there, or on their way, when the next attempt is written.
      */
     public BackendConnection takeIdle(long nowUs) {
         Iterator<BackendConnection> lastUsedFirst = idle.descendingIterator();
@@ -114,7 +114,7 @@
         }
     }
 
-    /** Guards against a call-out that crosses the backend's own closing of an idle connection: that is a reset. */
+    /** Guards against an attempt that crosses the backend's own closing of an idle connection: that is a reset. */
     public void closeIdleSince(long beforeUs) {
         while (!idle.isEmpty() && idle.peekFirst().idleSinceUs() < beforeUs) {
             idle.peekFirst().close();
--- a/src/main/java/hopdrum/host/Host.java
+++ b/src/main/java/hopdrum/host/Host.java
@@ -5,14 +5,14 @@
     long nowUs();
 
     /**
-     * Sends an RPC to a backend; call-outs of one RPC are numbered 0, 1, 2 ... in the order sent.
+     * Sends an RPC to a backend; attempts of one RPC are numbered 0, 1, 2 ... in the order sent.
      *
      * @param timeOutUs after which nobody waits for its answer any more
      * @param beginWithinUs within which its first byte has to leave; one that cannot begin by then never ran
      */
-    void callOut(long rpc, long backend, long timeOutUs, long beginWithinUs);
+    void startAttempt(long rpc, long backend, long timeOutUs, long beginWithinUs);
 
-    void cancelCallOut(long rpc, int callOut);
+    void cancelAttempt(long rpc, int attempt);
 
     /** Final answer: trying again is harmless. A wait of 0 names no time to come back. */
     void pushBack(long rpc, long retryAfterUs);
--- a/src/main/java/hopdrum/policy/Backends.java
+++ b/src/main/java/hopdrum/policy/Backends.java
@@ -111,7 +111,7 @@
         double limit = Math.max(1, 2 * FIRST_PLACES / settings.gateways());
         double slowness = 1;        // its answers' time against its peers'
         long slownessAtUs = now();
-        double errors;              // share of late call-outs that ended in an error
+        double errors;              // share of late attempts that ended in an error
         int errorsInARow;
         int suspicions;
         long lastAnswerUs = now();
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -126,7 +126,7 @@
             at(rpc.startByUs + 1, this::pump);
             pump();
         }
-        // 4. What comes back is a call on the handle: Rpc.callOutEnded().
+        // 4. What comes back is a call on the handle: Rpc.attemptEnded().
     }
 
     /** Gives free places to the lines, the RPC that must start soonest first. */
@@ -138,13 +138,13 @@
             Rpc rpc = tier.line.peek();
             // Guards against a line in which those who can only be late go first, and make all behind them late too.
             boolean late = rpc.isTooLate() || now() > rpc.startByUs && tier.line.size() > 1;
-            if (rpc.callOuts.isEmpty() && late) {
+            if (rpc.attempts.isEmpty() && late) {
                 tier.line.poll();
                 finish(rpc, rpc.customer.returnIn(rpc.row.usualUs(), rpc.units)); // too late
                 continue;
             }
             Backend backend = tier.hasPlace() ? tier.pick(rpc) : null;
-            if (backend == null && rpc.callOuts.isEmpty()) break; // a repeat may be bound; the line goes on
+            if (backend == null && rpc.attempts.isEmpty()) break; // a repeat may be bound; the line goes on
             tier.line.poll();
             if (backend != null) {
                 send(rpc, backend);
@@ -158,42 +158,42 @@
     }
 
     private void send(Rpc rpc, Backend backend) {
-        CallOut callOut = new CallOut();
-        callOut.backend = backend;
-        callOut.sentUs = now();
-        callOut.number = rpc.callOuts.size();
-        if (rpc.callOuts.isEmpty()) {
+        Attempt attempt = new Attempt();
+        attempt.backend = backend;
+        attempt.sentUs = now();
+        attempt.number = rpc.attempts.size();
+        if (rpc.attempts.isEmpty()) {
             repeats = Math.min(MOST_REPEATS, repeats + REPEATS_PER_RPC);
             rpc.customer.open++;
         }
-        rpc.callOuts.add(callOut);
+        rpc.attempts.add(attempt);
         rpc.stage = Stage.OUT;
         backend.out++;
         backend.sentCold(rpc.row);
         // Its time-out is when this gateway gives up: a backend need not begin what nobody waits for.
         long timeOutUs = Math.max(1, rpc.giveUpAtUs - now());
-        host.callOut(rpc.id, backend.listed.backend(), timeOutUs, Math.min(timeOutUs, rpc.repeatByUs() - now()));
-        at(now() + rpc.row.patienceUs() + backend.farUs(), () -> overdue(rpc, callOut));
+        host.startAttempt(rpc.id, backend.listed.backend(), timeOutUs, Math.min(timeOutUs, rpc.repeatByUs() - now()));
+        at(now() + rpc.row.patienceUs() + backend.farUs(), () -> overdue(rpc, attempt));
     }
 
-    // ---- Further call-outs and the end of an RPC ----
+    // ---- Further attempts and the end of an RPC ----
 
     /** Guards against what shows only as time (a hang, a vanished machine, a long pause, a crawl). */
-    private void overdue(Rpc rpc, CallOut callOut) {
-        if (!callOut.out || rpc.streaming) return; // a stream that has begun belongs to the client
-        Backend backend = callOut.backend;
-        boolean mute = backend.lastAnswerUs < callOut.sentUs;
+    private void overdue(Rpc rpc, Attempt attempt) {
+        if (!attempt.out || rpc.streaming) return; // a stream that has begun belongs to the client
+        Backend backend = attempt.backend;
+        boolean mute = backend.lastAnswerUs < attempt.sentUs;
         if (mute && ++backend.suspicions >= 2) backend.eject();
         // Only away from an ejected backend: elsewhere a long RPC is long too.
         if (backend.usable() || rpc.isDone() || rpc.outCount() != 1) return;
         if (settings.secondCopies()) {
             sendFurther(rpc, true);
         } else if (settings.mayCancel() && rpc.mayRepeat() && repeats >= 1) {
-            host.cancelCallOut(rpc.id, callOut.number);
+            host.cancelAttempt(rpc.id, attempt.number);
         }
     }
 
-    /** Puts an RPC in line again, if its method, its call-outs, its time and the budget allow one more. */
+    /** Puts an RPC in line again, if its method, its attempts, its time and the budget allow one more. */
     private boolean sendFurther(Rpc rpc, boolean mayHaveRun) {
         boolean pointless = rpc.softDlUs <= now() && rpc.row.method.lateUtility() <= 0;
         if (!rpc.mayRepeat() || pointless || mayHaveRun && repeats < 1) return false;
@@ -204,8 +204,8 @@
 
     private void outOfTime(Rpc rpc) {
         if (!rpc.isDone() && !rpc.streaming) {
-            for (CallOut callOut : rpc.callOuts) {
-                if (callOut.out) callOut.backend.tookTooLong(rpc.row, now() - callOut.sentUs);
+            for (Attempt attempt : rpc.attempts) {
+                if (attempt.out) attempt.backend.tookTooLong(rpc.row, now() - attempt.sentUs);
             }
             finish(rpc, 0);
         }
@@ -222,9 +222,9 @@
         }
     }
 
-    // ---- The handle and its call-outs ----
+    // ---- The handle and its attempts ----
 
-    static final class CallOut {
+    static final class Attempt {
         Backend backend;
         long sentUs;
         int number;
@@ -245,7 +245,7 @@
         final long startByUs; // later it is not likely to meet its soft deadline
         private final long giveUpAtUs;
         final long order = orders++;
-        private final List<CallOut> callOuts = new ArrayList<>(1);
+        private final List<Attempt> attempts = new ArrayList<>(1);
         Backends tier;      // whose backends may take it; before it is in line, nobody's
         Stage stage = Stage.NEW;
         boolean admitted;
@@ -263,15 +263,15 @@
             this.giveUpAtUs = (row.method.lateUtility() > 0 ? dlUs : softDlUs) - marginUs;
         }
 
-        /** A call-out has ended; over tells that the client has its answer, by this or earlier. */
-        public void callOutEnded(int number, Outcome outcome, long wholeUs, boolean over, int settled,
+        /** An attempt has ended; over tells that the client has its answer, by this or earlier. */
+        public void attemptEnded(int number, Outcome outcome, long wholeUs, boolean over, int settled,
                                  float[] report) {
-            if (number >= callOuts.size() || !callOuts.get(number).out) return;
-            CallOut callOut = callOuts.get(number);
-            Backend backend = callOut.backend;
+            if (number >= attempts.size() || !attempts.get(number).out) return;
+            Attempt attempt = attempts.get(number);
+            Backend backend = attempt.backend;
             long tookUs = Math.max(1, wholeUs - backend.farUs());
-            callOut.out = false;
-            callOut.neverRan = outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED
+            attempt.out = false;
+            attempt.neverRan = outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED
                     || outcome == Outcome.MOOT;
             backend.out--;
             if (report.length > 0) backend.reported(report);
@@ -293,7 +293,7 @@
                 close();
             } else if (!isDone() && outCount() == 0 && !tier.line.contains(this)
                     && (outcome == Outcome.MOOT || outcome == Outcome.TIMED_OUT || streaming
-                    || !sendFurther(this, !callOut.neverRan))) {
+                    || !sendFurther(this, !attempt.neverRan))) {
                 finish(this, 0);
             }
             pump();
@@ -324,21 +324,21 @@
         private void close() {
             if (stage == Stage.LINE || stage == Stage.OUT) tier.line.remove(this);
             customer.waiting.remove(this);
-            if (callOuts.isEmpty() && admitted) {
+            if (attempts.isEmpty() && admitted) {
                 customer.owed -= weight;
-            } else if (!callOuts.isEmpty()) {
+            } else if (!attempts.isEmpty()) {
                 customer.open--;
             }
             stage = Stage.DONE;
-            for (CallOut c : callOuts) {
-                if (c.out && settings.mayCancel()) host.cancelCallOut(id, c.number);
+            for (Attempt c : attempts) {
+                if (c.out && settings.mayCancel()) host.cancelAttempt(id, c.number);
             }
         }
 
-        private long outCount() { return callOuts.stream().filter(c -> c.out).count(); }
+        private long outCount() { return attempts.stream().filter(c -> c.out).count(); }
 
-        private CallOut firstThatMayHaveRun() {
-            return callOuts.stream().filter(c -> !c.neverRan).findFirst().orElse(null);
+        private Attempt firstThatMayHaveRun() {
+            return attempts.stream().filter(c -> !c.neverRan).findFirst().orElse(null);
         }
 
         boolean wouldBeLate(long farUs) { return farUs > 0 && now() + farUs + row.usualUs() > softDlUs; }
@@ -353,20 +353,20 @@
         }
 
         private boolean mayRepeat() {
-            return callOuts.size() < settings.mostCallOuts()
+            return attempts.size() < settings.mostAttempts()
                     && (firstThatMayHaveRun() == null // a partner repeats by itself, and counts each
                     || tier == tiers.get(0) && row.method.repeat() != Method.Repeat.NON_IDEMPOTENT);
         }
 
-        /** Backends may run it anew after this: a further call-out has to begin before, however late its connection is. */
+        /** Backends may run it anew after this: a further attempt has to begin before, however late its connection is. */
         private long repeatByUs() {
-            CallOut first = firstThatMayHaveRun();
+            Attempt first = firstThatMayHaveRun();
             boolean windowed = first != null && row.method.repeat() == Method.Repeat.DEDUPLICATED;
             return windowed ? first.sentUs + row.method.windowUs() - 2 * settings.tickUs() : Long.MAX_VALUE;
         }
 
         boolean mayGoTo(Backend b) {
-            CallOut first = firstThatMayHaveRun();
+            Attempt first = firstThatMayHaveRun();
             if (first == null || row.method.repeat() == Method.Repeat.IDEMPOTENT) return true;
             return row.method.repeat() == Method.Repeat.DEDUPLICATED && now() < repeatByUs()
                     && switch (row.method.group()) {
@@ -376,8 +376,8 @@
                     };
         }
 
-        boolean tried(Backend b) { return callOuts.stream().anyMatch(c -> c.backend.isSameAs(b)); }
+        boolean tried(Backend b) { return attempts.stream().anyMatch(c -> c.backend.isSameAs(b)); }
 
-        boolean isOutAt(Backend b) { return callOuts.stream().anyMatch(c -> c.out && c.backend.isSameAs(b)); }
+        boolean isOutAt(Backend b) { return attempts.stream().anyMatch(c -> c.out && c.backend.isSameAs(b)); }
     }
 }
--- a/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
@@ -225,7 +225,7 @@
                 go.join();
             });
             held.join();
-            try { // the loop finds both at once, and first what makes it write the next call-out
+            try { // the loop finds both at once, and first what makes it write the next attempt
                 counter.say(ok("1"));
                 backend.say(ok("for another"));
             } catch (IOException e) {
@@ -294,7 +294,7 @@
     }
 
     @Test
-    void aClientThatLeavesTakesItsCallOutAlong() throws Exception {
+    void aClientThatLeavesTakesItsAttemptAlong() throws Exception {
         backend.answer = request -> HANGS;
         start();
         Client client = new Client().send(rpc("t1", "order", ""));
--- a/src/test/java/hopdrum/policy/ColdFleetStoryTest.java
+++ b/src/test/java/hopdrum/policy/ColdFleetStoryTest.java
@@ -46,7 +46,7 @@
             }
             host.pass(STEP_US);
             int before = sent;
-            sent = host.heard("call-out").size();
+            sent = host.heard("attempt").size();
             if (sent > before) {
                 answerAtUs = host.clockUs + (long) WORK_US;
             }
--- a/src/test/java/hopdrum/policy/DistancesStoryTest.java
+++ b/src/test/java/hopdrum/policy/DistancesStoryTest.java
@@ -29,7 +29,7 @@
         for (int i = 0; i < rpcs; i++) {
             door.takeInQuota();
         }
-        return door.heard("call-out");
+        return door.heard("attempt");
     }
 
     @Test
@@ -53,7 +53,7 @@
             rpcs.add(door.takeInQuota());
         }
         for (int i = 0; i < 12; i++) {
-            String to = door.heard("call-out " + (i + 1) + " ").get(0);
+            String to = door.heard("attempt " + (i + 1) + " ").get(0);
             door.end(rpcs.get(i), 0, to.endsWith("1") || to.endsWith("2") ? Outcome.ERROR : Outcome.OK, 150_000);
         }
         assertThat(sent(2)).isNotEmpty().allMatch(c -> c.endsWith("3") || c.endsWith("4"));
@@ -64,7 +64,7 @@
         start(400_000);
         for (int i = 0; i < 30; i++) {
             Policy.Rpc rpc = door.takeInQuota();
-            String to = door.heard("call-out " + (i + 1) + " ").get(0);
+            String to = door.heard("attempt " + (i + 1) + " ").get(0);
             door.end(rpc, 0, Outcome.OK, to.endsWith("3") || to.endsWith("4") ? 450_000 : 50_000);
         }
         door.distances = null; // from here on as without a map: all four are as good
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -32,19 +32,19 @@
         for (int i = 0; i < 6; i++) {
             stuck.add(door.takeInQuota());
         }
-        String hung = door.heard("call-out").get(0).replaceAll(".* to ", " to ");
+        String hung = door.heard("attempt").get(0).replaceAll(".* to ", " to ");
         for (Policy.Rpc rpc : stuck) {
-            if (!door.heard("call-out").get(stuck.indexOf(rpc)).endsWith(hung)) {
+            if (!door.heard("attempt").get(stuck.indexOf(rpc)).endsWith(hung)) {
                 door.end(rpc, 0, Outcome.OK, 50_000);
             }
         }
         door.pass(500_000);
-        assertThat(door.heard("call-out")).as("second copies for what hangs").hasSizeGreaterThan(6);
+        assertThat(door.heard("attempt")).as("second copies for what hangs").hasSizeGreaterThan(6);
         door.asked.clear();
         for (int i = 0; i < 6; i++) {
             served(50_000);
         }
-        assertThat(door.heard("call-out")).hasSize(6).noneMatch(a -> a.endsWith(hung));
+        assertThat(door.heard("attempt")).hasSize(6).noneMatch(a -> a.endsWith(hung));
     }
 
     @Test
@@ -52,14 +52,14 @@
         door.start(3);
         for (int i = 0; i < 12; i++) {
             Policy.Rpc rpc = door.takeInQuota();
-            int last = door.heard("call-out " + (i + 1) + " ").size() - 1;
-            if (door.heard("call-out " + (i + 1) + " ").get(last).endsWith("to 1")) {
+            int last = door.heard("attempt " + (i + 1) + " ").size() - 1;
+            if (door.heard("attempt " + (i + 1) + " ").get(last).endsWith("to 1")) {
                 door.end(rpc, last, Outcome.ERROR, 1_000);
                 last++;
             }
             door.end(rpc, last, Outcome.OK, 100_000);
         }
-        assertThat(door.heard("call-out").stream().filter(a -> a.endsWith("to 1")).count()).isLessThanOrEqualTo(4);
+        assertThat(door.heard("attempt").stream().filter(a -> a.endsWith("to 1")).count()).isLessThanOrEqualTo(4);
         assertThat(door.heard("push back")).isEmpty();
     }
 
@@ -68,16 +68,16 @@
         door.start(2);
         for (int i = 1; i <= 10; i++) {
             Policy.Rpc rpc = door.takeInQuota();
-            if (door.heard("call-out " + i + " ").get(0).endsWith("to 1")) {
+            if (door.heard("attempt " + i + " ").get(0).endsWith("to 1")) {
                 door.end(rpc, 0, Outcome.UNREADABLE, 1_000);
-                assertThat(door.heard("call-out " + i + " ").get(1)).endsWith("to 2");
+                assertThat(door.heard("attempt " + i + " ").get(1)).endsWith("to 2");
                 door.end(rpc, 1, Outcome.OK, 500_000);
             } else {
                 door.end(rpc, 0, Outcome.OK, 500_000);
             }
             door.pass(100_000);
         }
-        assertThat(door.heard("call-out").stream().filter(a -> a.endsWith("to 1")).count()).isGreaterThan(4);
+        assertThat(door.heard("attempt").stream().filter(a -> a.endsWith("to 1")).count()).isGreaterThan(4);
     }
 
     @Test
@@ -89,7 +89,7 @@
             door.take();
             door.policy.counted(door.lastName(), Outcome.UNREADABLE, 0, 1_000);
         }
-        assertThat(door.heard("call-out")).as("let in by the slice of what is known").hasSizeGreaterThan(3);
+        assertThat(door.heard("attempt")).as("let in by the slice of what is known").hasSizeGreaterThan(3);
         assertThat(door.heard("add")).as("asked at each, and nothing owed").hasSize(6).allMatch(a -> a.equals("add 1.0"));
     }
 
@@ -105,7 +105,7 @@
         }
         door.asked.clear();
         door.takeInQuota();
-        assertThat(door.heard("call-out")).hasSize(1);
+        assertThat(door.heard("attempt")).hasSize(1);
     }
 
     @Test
@@ -118,7 +118,7 @@
         int pushedBack = door.heard("push back").size();
         assertThat(pushedBack).isGreaterThan(4);
         assertThat(door.heard("push back").get(0)).as("says when to come back").doesNotEndWith(" for 0");
-        assertThat(door.heard("call-out").size() + pushedBack).isGreaterThanOrEqualTo(8);
+        assertThat(door.heard("attempt").size() + pushedBack).isGreaterThanOrEqualTo(8);
         door.asked.clear();
         door.takeInQuota();
         assertThat(door.heard("add").get(0)).as("units of work never sent ride back on the next call")
@@ -133,11 +133,11 @@
         for (int i = 0; i < 8; i++) {
             taken.add(door.takeInQuota());
         }
-        int sent = door.heard("call-out").size();
+        int sent = door.heard("attempt").size();
         door.pass(1_990_000);
         assertThat(door.heard("push back")).as("all that wait, but one").hasSize(8 - sent - 1);
         door.end(taken.get(0), 0, Outcome.OK, 1_990_000);
-        assertThat(door.heard("call-out")).as("a place is free, and nobody else waits").hasSize(sent + 1);
+        assertThat(door.heard("attempt")).as("a place is free, and nobody else waits").hasSize(sent + 1);
         assertThat(door.heard("abort")).isEmpty();
     }
 
@@ -309,7 +309,7 @@
         door.method = new Method(2_000_000, 7_500_000, Method.Repeat.DEDUPLICATED, Method.Group.CELL, 6_000_000, 0, false);
         door.start(2);
         Policy.Rpc rpc = door.takeInQuota();
-        long first = door.heard("call-out").get(0).endsWith("to 1") ? 1 : 2;
+        long first = door.heard("attempt").get(0).endsWith("to 1") ? 1 : 2;
         door.list(first, Listed.State.GONE, 0);
         door.end(rpc, 0, Outcome.RESET, 1_000);
         assertThat(door.heard("abort")).hasSize(1);
@@ -337,7 +337,7 @@
         door.asked.clear();
         door.take();
         door.policy.counted(door.lastName(), Outcome.OK, 1, 1_000); // emptied: the total is this call's own
-        assertThat(door.heard("call-out")).hasSize(1);
+        assertThat(door.heard("attempt")).hasSize(1);
         double restored = Double.parseDouble(door.heard("add").get(1).substring(4));
         assertThat(door.totalFor(0) - 1 - restored).as("no fresh burst: nothing is left").isBetween(-0.1, 0.1);
     }
@@ -398,7 +398,7 @@
         door.pass(1_000_000); // at 2 a second, a credit of -1 is one of 1 now
         door.takeCounted(0);
         assertThat(door.heard("add")).hasSize(1);
-        assertThat(door.heard("call-out")).as("no slice holds it back any longer").hasSize(1);
+        assertThat(door.heard("attempt")).as("no slice holds it back any longer").hasSize(1);
     }
 
     @Test
@@ -418,11 +418,11 @@
         door.policy.heard(told(11, Float.NaN));
         door.policy.heard(told(11, Float.NEGATIVE_INFINITY));
         door.takeInQuota();
-        assertThat(door.heard("call-out")).as("no number tells nothing").hasSize(1);
+        assertThat(door.heard("attempt")).as("no number tells nothing").hasSize(1);
         door.policy.heard(told(11, -1e30f));
         door.pass(4_000_000);
         door.takeInQuota();
-        assertThat(door.heard("call-out")).hasSize(2);
+        assertThat(door.heard("attempt")).hasSize(2);
     }
 
     @Test
@@ -523,20 +523,20 @@
         for (int i = 0; i < 12; i++) {
             door.takeInQuota();
         }
-        assertThat(door.heard("call-out")).as("12 first places, less 0.3 for each while half are in use").hasSizeBetween(8, 10);
+        assertThat(door.heard("attempt")).as("12 first places, less 0.3 for each while half are in use").hasSizeBetween(8, 10);
     }
 
     @Test
     void aBackendSlowToSayFullIsShunnedForThatPlanAndKeepsItsPlaces() {
         door.start(2);
         Policy.Rpc rpc = door.takeInQuota();
-        String first = door.heard("call-out 1 ").get(0).replaceAll(".* to ", " to ");
+        String first = door.heard("attempt 1 ").get(0).replaceAll(".* to ", " to ");
         door.end(rpc, 0, Outcome.FULL, 400_000);
         door.end(rpc, 1, Outcome.OK, 50_000);
         door.asked.clear();
         for (int i = 0; i < 4; i++) {
             door.takeInQuota();
         }
-        assertThat(door.heard("call-out")).hasSize(4).noneMatch(a -> a.endsWith(first));
+        assertThat(door.heard("attempt")).hasSize(4).noneMatch(a -> a.endsWith(first));
     }
 }
--- a/src/test/java/hopdrum/policy/FakeHost.java
+++ b/src/test/java/hopdrum/policy/FakeHost.java
@@ -16,7 +16,7 @@
     static final float[] NO_REPORT = {};
     final List<String> asked = new ArrayList<>();
     final List<Long> names = new ArrayList<>();
-    final List<Long> beginWithin = new ArrayList<>(); // of each call-out
+    final List<Long> beginWithin = new ArrayList<>(); // of each attempt
     Method method = new Method(2_000_000, 7_500_000, Method.Repeat.IDEMPOTENT, Method.Group.ALL, 0, 0, false);
     Plan plan = new Plan(2, 4, 0, 0, 0, 0);
     int gateways = 2;
@@ -76,8 +76,8 @@
         return plan.burst() + plan.rate() * sinceUs / 1e6 - room;
     }
 
-    void end(Policy.Rpc rpc, int callOut, Outcome outcome, long tookUs) {
-        rpc.callOutEnded(callOut, outcome, tookUs, outcome == Outcome.OK, 0, NO_REPORT);
+    void end(Policy.Rpc rpc, int attempt, Outcome outcome, long tookUs) {
+        rpc.attemptEnded(attempt, outcome, tookUs, outcome == Outcome.OK, 0, NO_REPORT);
     }
 
     /** Lets time pass, with every wake-up that comes due. */
@@ -121,14 +121,14 @@
     }
 
     @Override
-    public void callOut(long rpc, long backend, long timeOutUs, long beginWithinUs) {
-        asked.add("call-out " + rpc + " to " + backend);
+    public void startAttempt(long rpc, long backend, long timeOutUs, long beginWithinUs) {
+        asked.add("attempt " + rpc + " to " + backend);
         beginWithin.add(beginWithinUs);
     }
 
     @Override
-    public void cancelCallOut(long rpc, int callOut) {
-        asked.add("cancel " + rpc + " " + callOut);
+    public void cancelAttempt(long rpc, int attempt) {
+        asked.add("cancel " + rpc + " " + attempt);
     }
 
     @Override
--- a/src/test/java/hopdrum/policy/PartnersStoryTest.java
+++ b/src/test/java/hopdrum/policy/PartnersStoryTest.java
@@ -22,21 +22,21 @@
         door.owner = 2;
     }
 
-    private String lastCallOut() {
-        List<String> all = door.heard("call-out");
+    private String lastAttempt() {
+        List<String> all = door.heard("attempt");
         return all.get(all.size() - 1);
     }
 
     @Test
     void aPartnersCustomerIsPassedOnAndCountedThereAlone() {
         Policy.Rpc rpc = door.take();
-        assertThat(lastCallOut()).matches("call-out 1 to 1[12]");
+        assertThat(lastAttempt()).matches("attempt 1 to 1[12]");
         assertThat(door.heard("add")).isEmpty();
         door.end(rpc, 0, Outcome.OK, 5_000);
         assertThat(rpc.over()).isTrue();
         door.owner = 0;
         Policy.Rpc own = door.takeInQuota();
-        assertThat(lastCallOut()).matches("call-out 2 to [12]");
+        assertThat(lastAttempt()).matches("attempt 2 to [12]");
         door.end(own, 0, Outcome.OK, 5_000);
     }
 
@@ -44,7 +44,7 @@
     void whatMayHaveRunAtAPartnerIsNotSentAgainSinceItWouldBeCountedTwice() {
         Policy.Rpc rpc = door.take();
         door.end(rpc, 0, Outcome.RESET, 5_000);
-        assertThat(door.heard("call-out")).hasSize(1);
+        assertThat(door.heard("attempt")).hasSize(1);
         assertThat(door.heard("push back")).hasSize(1); // idempotent: the client may ask again
     }
 
@@ -60,18 +60,18 @@
     @Test
     void whatSurelyNeverReachedAPartnersDoorGoesToItsOther() {
         Policy.Rpc rpc = door.take();
-        String first = lastCallOut();
+        String first = lastAttempt();
         door.end(rpc, 0, Outcome.CONNECT_FAILED, 1_000);
-        assertThat(lastCallOut()).matches("call-out 1 to 1[12]").isNotEqualTo(first);
+        assertThat(lastAttempt()).matches("attempt 1 to 1[12]").isNotEqualTo(first);
     }
 
     @Test
     void aPartnersPushbackIsTheEndOfIt() {
         Policy.Rpc rpc = door.take();
-        rpc.callOutEnded(0, Outcome.MOOT, 5_000, true, 0, FakeHost.NO_REPORT); // the client has it already
+        rpc.attemptEnded(0, Outcome.MOOT, 5_000, true, 0, FakeHost.NO_REPORT); // the client has it already
         assertThat(rpc.over()).isTrue();
         assertThat(door.heard("push back")).isEmpty();
-        assertThat(door.heard("call-out")).hasSize(1);
+        assertThat(door.heard("attempt")).hasSize(1);
     }
 
     @Test
@@ -81,7 +81,7 @@
         assertThat(rpc.over()).isTrue();
         assertThat(door.heard("push back")).containsExactly("push back 1 for 300000");
         assertThat(door.heard("add")).isEmpty();
-        assertThat(door.heard("call-out")).isEmpty();
+        assertThat(door.heard("attempt")).isEmpty();
     }
 
     @Test
@@ -92,7 +92,7 @@
         door.owner = 0;
         Policy.Rpc rpc = door.take();
         door.policy.counted(door.lastName(), Outcome.OK, 1, 1_000); // it made the name: only its own unit is there
-        assertThat(door.heard("call-out")).hasSize(1);
+        assertThat(door.heard("attempt")).hasSize(1);
         double trimmed = Double.parseDouble(door.heard("add").get(1).substring(4));
         assertThat(door.totalFor(0) - 1 - trimmed).as("room left after it").isBetween(-0.01, 0.01);
         door.end(rpc, 0, Outcome.OK, 5_000);
@@ -103,10 +103,10 @@
         for (int i = 0; i < 20; i++) {
             door.take();
         }
-        int passedOn = door.heard("call-out").size();
+        int passedOn = door.heard("attempt").size();
         assertThat(passedOn).isLessThan(20);
         door.owner = 0;
         door.takeInQuota();
-        assertThat(lastCallOut()).matches("call-out 21 to [12]");
+        assertThat(lastAttempt()).matches("attempt 21 to [12]");
     }
 }
--- a/src/test/java/hopdrum/policy/QuotaStoryTest.java
+++ b/src/test/java/hopdrum/policy/QuotaStoryTest.java
@@ -13,7 +13,7 @@
         door.take();
         assertThat(door.asked).containsExactly("add 1.0");
         door.answer(2);
-        assertThat(door.heard("call-out 1 ")).hasSize(1);
+        assertThat(door.heard("attempt 1 ")).hasSize(1);
     }
 
     @Test
@@ -34,7 +34,7 @@
         door.take();
         door.take();
         door.pass(20_000);
-        assertThat(door.heard("call-out")).as("a burst of 4 over 2 gateways").hasSize(2);
+        assertThat(door.heard("attempt")).as("a burst of 4 over 2 gateways").hasSize(2);
         assertThat(door.heard("push back 3")).hasSize(1);
     }
 
--- a/src/test/java/hopdrum/policy/RulesStoryTest.java
+++ b/src/test/java/hopdrum/policy/RulesStoryTest.java
@@ -33,7 +33,7 @@
         door.start(3);
         Policy.Rpc rpc = door.takeInQuota();
         door.end(rpc, 0, Outcome.ERROR, 5_000);
-        assertThat(door.heard("call-out 1 ")).hasSize(1);
+        assertThat(door.heard("attempt 1 ")).hasSize(1);
         assertThat(door.heard("abort 1")).hasSize(1);
         assertThat(door.heard("push back")).isEmpty();
     }
@@ -43,18 +43,18 @@
         method(Method.Repeat.NON_IDEMPOTENT, Method.Group.ALL);
         door.start(3);
         door.end(door.takeInQuota(), 0, Outcome.FULL, 5_000);
-        assertThat(door.heard("call-out 1 ")).hasSize(2);
+        assertThat(door.heard("attempt 1 ")).hasSize(2);
     }
 
     @Test
-    void aDeduplicatedRpcStaysInTheCellOfItsFirstCallOutAndIsNeverPushedBack() {
+    void aDeduplicatedRpcStaysInTheCellOfItsFirstAttemptAndIsNeverPushedBack() {
         method(Method.Repeat.DEDUPLICATED, Method.Group.CELL);
         door.start(4);
         Policy.Rpc rpc = door.takeInQuota();
         for (int i = 0; i < 3; i++) {
             door.end(rpc, i, Outcome.ERROR, 5_000);
         }
-        long parity = door.heard("call-out 1 ").stream().map(a -> a.charAt(a.length() - 1) % 2).distinct().count();
+        long parity = door.heard("attempt 1 ").stream().map(a -> a.charAt(a.length() - 1) % 2).distinct().count();
         assertThat(parity).isEqualTo(1);
         assertThat(door.heard("abort 1")).hasSize(1);
         assertThat(door.heard("push back")).isEmpty();
@@ -66,12 +66,12 @@
         door.start(4);
         Policy.Rpc rpc = door.takeInQuota();
         door.pass(1_100_000);
-        int before = door.heard("call-out 1 ").size();
+        int before = door.heard("attempt 1 ").size();
         for (int i = 0; i < before; i++) {
             door.end(rpc, i, Outcome.ERROR, 1_100_000);
         }
         door.pass(7_000_000);
-        assertThat(door.heard("call-out 1 ")).hasSize(before);
+        assertThat(door.heard("attempt 1 ")).hasSize(before);
     }
 
     @Test
@@ -81,7 +81,7 @@
         Policy.Rpc rpc = door.takeInQuota();
         door.pass(300_000);
         door.end(rpc, 0, Outcome.ERROR, 300_000);
-        assertThat(door.heard("call-out 1 ")).hasSize(2);
+        assertThat(door.heard("attempt 1 ")).hasSize(2);
         assertThat(door.beginWithin.get(1)).as("a window of 1 s, from the first").isBetween(600_000L, 700_000L);
     }
 
@@ -93,12 +93,12 @@
         assertThat(rpc.over()).isTrue();
         door.answer(2);
         door.pass(3_000_000);
-        assertThat(door.heard("call-out")).isEmpty();
+        assertThat(door.heard("attempt")).isEmpty();
         assertThat(door.heard("add")).containsExactly("add 1.0", "add -1.0");
     }
 
     @Test
-    void whereTwoCallOutsAtOnceAreForbiddenTheFirstIsCancelledBeforeAnotherAndOnlyAwayFromAnEjectedBackend() {
+    void whereTwoAttemptsAtOnceAreForbiddenTheFirstIsCancelledBeforeAnotherAndOnlyAwayFromAnEjectedBackend() {
         door.secondCopies = false;
         door.start(3);
         Policy.Rpc rpc = door.takeInQuota();
@@ -110,7 +110,7 @@
         }
         door.pass(1_500_000);
         assertThat(door.heard("cancel")).hasSize(1);
-        assertThat(door.heard("call-out")).hasSize(7);
+        assertThat(door.heard("attempt")).hasSize(7);
     }
 
     @Test
@@ -120,7 +120,7 @@
         for (int i = 0; i < 3; i++) {
             door.end(door.takeInQuota(), 0, Outcome.OK, 100_000);
         }
-        assertThat(door.heard("call-out")).hasSize(3).allMatch(a -> a.endsWith("to 2"));
+        assertThat(door.heard("attempt")).hasSize(3).allMatch(a -> a.endsWith("to 2"));
     }
 
     @Test
@@ -129,13 +129,13 @@
         door.list(1, Listed.State.READY, door.clockUs);
         for (int i = 0; i < 20; i++) {
             Policy.Rpc rpc = door.takeInQuota();
-            if (!door.heard("call-out " + (i + 1) + " ").isEmpty()) {
+            if (!door.heard("attempt " + (i + 1) + " ").isEmpty()) {
                 door.end(rpc, 0, Outcome.OK, 10_000);
             }
             door.pass(50_000);
         }
         // 0.7 x 2 x a fifth of one core x 1.5 s, over two gateways: under one answer's time (250 ms) a window
-        assertThat(door.heard("call-out")).hasSizeBetween(1, 2);
+        assertThat(door.heard("attempt")).hasSizeBetween(1, 2);
     }
 
     @Test
@@ -148,13 +148,13 @@
     }
 
     @Test
-    void openCallOutsAreHeldToThisGatewaysShareOfTheLimit() {
+    void openAttemptsAreHeldToThisGatewaysShareOfTheLimit() {
         door.plan = new Plan(0, 0, 4, 0, 0, 0);
         door.start(3);
         for (int i = 0; i < 3; i++) {
             door.take();
         }
-        assertThat(door.heard("call-out")).hasSize(2);
+        assertThat(door.heard("attempt")).hasSize(2);
         assertThat(door.heard("push back 3")).hasSize(1);
         assertThat(door.heard("add")).isEmpty();
     }
@@ -165,7 +165,7 @@
         Policy.Rpc rpc = door.takeCounted(2);
         rpc.streamStarted(0);
         door.pass(7_490_000);
-        assertThat(door.heard("call-out 1 ")).hasSize(1);
+        assertThat(door.heard("attempt 1 ")).hasSize(1);
         assertThat(door.heard("push back")).isEmpty();
     }
 
@@ -177,9 +177,9 @@
         door.list(1, Listed.State.READY, 0);
         door.list(1, Listed.State.READY, 0); // twice
         door.policy.heard(new byte[3]);
-        assertThat(door.heard("call-out 1 ")).hasSize(1);
+        assertThat(door.heard("attempt 1 ")).hasSize(1);
         door.policy.take(50, 0, 12, 0, 1, 1, 9, 7_500_000); // more gateways in its set than there are
         door.policy.counted(door.lastName(), Outcome.OK, 1, 1_000);
-        assertThat(door.heard("call-out 50 ")).hasSize(1);
+        assertThat(door.heard("attempt 50 ")).hasSize(1);
     }
 }
--- a/src/test/java/hopdrum/policy/SharersStoryTest.java
+++ b/src/test/java/hopdrum/policy/SharersStoryTest.java
@@ -23,7 +23,7 @@
             door.take();
         }
         door.pass(20_000);
-        return door.heard("call-out").size();
+        return door.heard("attempt").size();
     }
 
     @Test
@@ -47,7 +47,7 @@
         assertThat(door.heard("push back")).hasSize(3).noneMatch(a -> a.endsWith(" for 0"));
         door.pass(3_000_000); // a call may be made again
         assertThat(door.takeCounted(2)).as("the counter's word stands above all").isNotNull();
-        assertThat(door.heard("call-out")).hasSize(1);
+        assertThat(door.heard("attempt")).hasSize(1);
     }
 
     @Test
