--- a/src/main/java/hopdrum/benchlink/Instance.java
+++ b/src/main/java/hopdrum/benchlink/Instance.java
@@ -260,7 +260,7 @@
     }
 
     @Override
-    public void pushBack(long rpc, long retryAfterUs) {
+    public void refuse(long rpc, long retryAfterUs) {
         reply.record(81, number, 13).putInt((int) rpc).putInt((int) retryAfterUs);
         answered(rpc);
     }
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -68,12 +68,12 @@
     private static final class Tally {
         int taken;
         int ok;
-        int pushedBack;
+        int refused;
         int aborted;
         int left;
 
         boolean isEmpty() {
-            return taken + ok + pushedBack + aborted + left == 0;
+            return taken + ok + refused + aborted + left == 0;
         }
     }
 
@@ -142,10 +142,10 @@
 
     private void tell() {
         if (!tally.isEmpty()) {
-            LOG.info("in 10 s", "taken=" + tally.taken + " ok=" + tally.ok + " pushed_back=" + tally.pushedBack + " aborted="
+            LOG.info("in 10 s", "taken=" + tally.taken + " ok=" + tally.ok + " refused=" + tally.refused + " aborted="
                     + tally.aborted + " left=" + tally.left + "; now open=" + rpcs.size() + " clients=" + budget.clients()
                     + " backends=" + budget.backends());
-            tally.taken = tally.ok = tally.pushedBack = tally.aborted = tally.left = 0;
+            tally.taken = tally.ok = tally.refused = tally.aborted = tally.left = 0;
         }
         loop.in(TALLY_US, this::tell);
     }
@@ -284,7 +284,7 @@
             attempt.rpc.client = null;
             attempt.passed = true;
             tally.ok += answer.status() == 200 ? 1 : 0;
-            tally.pushedBack += answer.status() == 429 || answer.status() == 503 ? 1 : 0;
+            tally.refused += answer.status() == 429 || answer.status() == 503 ? 1 : 0;
             tally.aborted += answer.status() == 500 ? 1 : 0;
             if (!client.answer(bytes, answer)) {
                 client.close(); // it has not taken the answers before this one
@@ -401,8 +401,8 @@
     }
 
     @Override
-    public void pushBack(long id, long retryAfterUs) {
-        tally.pushedBack++;
+    public void refuse(long id, long retryAfterUs) {
+        tally.refused++;
         answer(id, retryAfterUs > 0 ? 429 : 503, retryAfterUs);
     }
 
--- a/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/Warmup.java
@@ -167,7 +167,7 @@
     }
 
     @Override
-    public void pushBack(long id, long retryAfterUs) {
+    public void refuse(long id, long retryAfterUs) {
         HttpWriter.plain(429, retryAfterUs, false, toClient);
     }
 
--- a/src/main/java/hopdrum/frontdoor/wire/BackendAnswer.java
+++ b/src/main/java/hopdrum/frontdoor/wire/BackendAnswer.java
@@ -34,7 +34,7 @@
         return in.status() >= 400 && in.status() < 500 ? Outcome.MOOT : Outcome.ERROR;
     }
 
-    /** Of a front door of another tier, whose answer is final: a pushback says that nothing ran, and is nobody's fault. */
+    /** Of a front door of another tier, whose answer is final: a refusal says that nothing ran, and is nobody's fault. */
     public static Outcome outcomeOfDoor(HttpReader in) {
         return in.status() == 200 ? Outcome.OK : in.status() == 503 || in.status() >= 400 && in.status() < 500 ? Outcome.MOOT
                 : Outcome.ERROR;
--- a/src/main/java/hopdrum/host/Host.java
+++ b/src/main/java/hopdrum/host/Host.java
@@ -15,7 +15,7 @@
     void cancelAttempt(long rpc, int attempt);
 
     /** Final answer: trying again is harmless. A wait of 0 names no time to come back. */
-    void pushBack(long rpc, long retryAfterUs);
+    void refuse(long rpc, long retryAfterUs);
 
     /** Final answer that promises nothing. */
     void abort(long rpc);
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -211,12 +211,12 @@
         }
     }
 
-    /** The module's own final answer, at once: pushed back where a repeat is harmless, else aborted. */
+    /** The module's own final answer, at once: refused where a repeat is harmless, else aborted. */
     void finish(Rpc rpc, long waitUs) {
         boolean harmless = rpc.isHarmless();
         rpc.close();
         if (harmless) {
-            host.pushBack(rpc.id, settings.retryAfter() ? Math.min(waitUs, settings.mostRetryAfterUs()) : 0);
+            host.refuse(rpc.id, settings.retryAfter() ? Math.min(waitUs, settings.mostRetryAfterUs()) : 0);
         } else {
             host.abort(rpc.id);
         }
@@ -345,7 +345,7 @@
 
         private boolean isTooLate() { return row.method.lateUtility() <= 0 && now() > startByUs; }
 
-        /** A pushback tells the client that a repeat is harmless: so only where it is. */
+        /** A refusal tells the client that a repeat is harmless: so only where it is. */
         private boolean isHarmless() {
             Method m = row.method;
             return firstThatMayHaveRun() == null || m.repeat() == Method.Repeat.IDEMPOTENT
--- a/src/main/java/hopdrum/policy/Quota.java
+++ b/src/main/java/hopdrum/policy/Quota.java
@@ -116,7 +116,7 @@
     /**
      * Guards a counter that is crowded, slow, refusing or dead: a call lost lowers the pace of calls, answers
      * raise it, as in TCP; it ends when calls are far fewer than it allows. Meanwhile the bucket lets in
-     * what it can and calls go to what it would push back; each adds what its customer was let in since.
+     * what it can and calls go to what it would refuse; each adds what its customer was let in since.
      */
     private boolean isPaced() { return pace < Double.MAX_VALUE; }
 
@@ -235,7 +235,7 @@
             creditAtUs = reading.atUs;
         }
 
-        /** Names a time to come back: clients that are pushed back return as the refill could serve them. */
+        /** Names a time to come back: clients that are refused return as the refill could serve them. */
         long returnIn(long waitUs, double units) {
             long soonestUs = Math.max(now() + waitUs, nextReturnUs);
             nextReturnUs = plan.rate() > 0 ? soonestUs + (long) (units / plan.rate() * 1e6) : soonestUs;
--- a/src/rig/java/hopdrum/rig/check/Owners.java
+++ b/src/rig/java/hopdrum/rig/check/Owners.java
@@ -246,7 +246,7 @@
     private void cost() {
         Map<String, String> where = new HashMap<>();
         rig.stream().filter(l -> is(l, "ran")).forEach(l -> where.put(l.path("rpc").asText(), l.path("operator").asText()));
-        int[][] count = new int[2][3]; // of shards that moved just then, of others: all, pushed back, late or lost
+        int[][] count = new int[2][3]; // of shards that moved just then, of others: all, refused, late or lost
         List<Long> at = new ArrayList<>();
         List<Long> passed = new ArrayList<>();
         long deadline = trial.path("deadline_us").asLong();
@@ -268,7 +268,7 @@
             }
         }
         for (int i = 0; i < 2; i++) {
-            measured.add(String.format(java.util.Locale.ROOT, "RPCs of shards that %s: %d, pushed back %.3f, late or without an answer %.3f",
+            measured.add(String.format(java.util.Locale.ROOT, "RPCs of shards that %s: %d, refused %.3f, late or without an answer %.3f",
                     i == 0 ? "moved within 2 s" : "did not", count[i][0], count[i][1] / Math.max(1.0, count[i][0]), count[i][2] / Math.max(1.0, count[i][0])));
         }
         Collections.sort(at);
--- a/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorStoryTest.java
@@ -67,7 +67,7 @@
     }
 
     @Test
-    void aCustomerBeyondItsQuotaIsPushedBackWithATimeAndNothingIsSent() throws Exception {
+    void aCustomerBeyondItsQuotaIsRefusedWithATimeAndNothingIsSent() throws Exception {
         start();
         for (int other = 10; other < 20; other++) { // the first calls of all take longer than the counter's time-out
             ask(rpc("o" + other, "order", "").replace("0007", "00" + other));
@@ -121,7 +121,7 @@
     }
 
     @Test
-    void whatNeverRanIsPushedBackAndWhatMayHaveRunIsAborted() throws Exception {
+    void whatNeverRanIsRefusedAndWhatMayHaveRunIsAborted() throws Exception {
         start();
         backend.answer = request -> "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
         assertThat(ask(rpc("t1", "order", ""))).startsWith("HTTP/1.1 503 ");
--- a/src/test/java/hopdrum/frontdoor/wire/WireStoryTest.java
+++ b/src/test/java/hopdrum/frontdoor/wire/WireStoryTest.java
@@ -192,7 +192,7 @@
     }
 
     @Test
-    void anAnswerKeepsItsBodyAndAPushbackNamesItsTime() throws BadMessage {
+    void anAnswerKeepsItsBodyAndARefusalNamesItsTime() throws BadMessage {
         HttpReader reader = whole(HttpReader.Kind.RESPONSE,
                 "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc");
         Ring out = ring();
--- a/src/test/java/hopdrum/policy/FailureStoryTest.java
+++ b/src/test/java/hopdrum/policy/FailureStoryTest.java
@@ -60,7 +60,7 @@
             door.end(rpc, last, Outcome.OK, 100_000);
         }
         assertThat(door.heard("attempt").stream().filter(a -> a.endsWith("to 1")).count()).isLessThanOrEqualTo(4);
-        assertThat(door.heard("push back")).isEmpty();
+        assertThat(door.heard("refuse")).isEmpty();
     }
 
     @Test
@@ -115,10 +115,10 @@
             door.takeInQuota();
         }
         door.pass(1_990_000);
-        int pushedBack = door.heard("push back").size();
-        assertThat(pushedBack).isGreaterThan(4);
-        assertThat(door.heard("push back").get(0)).as("says when to come back").doesNotEndWith(" for 0");
-        assertThat(door.heard("attempt").size() + pushedBack).isGreaterThanOrEqualTo(8);
+        int refused = door.heard("refuse").size();
+        assertThat(refused).isGreaterThan(4);
+        assertThat(door.heard("refuse").get(0)).as("says when to come back").doesNotEndWith(" for 0");
+        assertThat(door.heard("attempt").size() + refused).isGreaterThanOrEqualTo(8);
         door.asked.clear();
         door.takeInQuota();
         assertThat(door.heard("add").get(0)).as("units of work never sent ride back on the next call")
@@ -135,7 +135,7 @@
         }
         int sent = door.heard("attempt").size();
         door.pass(1_990_000);
-        assertThat(door.heard("push back")).as("all that wait, but one").hasSize(8 - sent - 1);
+        assertThat(door.heard("refuse")).as("all that wait, but one").hasSize(8 - sent - 1);
         door.end(taken.get(0), 0, Outcome.OK, 1_990_000);
         assertThat(door.heard("attempt")).as("a place is free, and nobody else waits").hasSize(sent + 1);
         assertThat(door.heard("abort")).isEmpty();
@@ -149,16 +149,16 @@
         }
         door.asked.clear();
         door.policy.take(99, 0, 11, 0, 1, 0, 2, 5_000_000); // 2.5 s of its client's 7.5 s are gone
-        assertThat(door.asked).containsExactly("push back 99 for 0");
+        assertThat(door.asked).containsExactly("refuse 99 for 0");
     }
 
     @Test
-    void clientsPushedBackAreNamedDifferentTimesToReturn() {
+    void clientsRefusedAreNamedDifferentTimesToReturn() {
         door.start(3);
         door.takeCounted(-0.2);
         door.take();
         door.take();
-        assertThat(door.heard("push back").stream().map(a -> a.replaceAll(".* for ", "")).distinct()).hasSize(3);
+        assertThat(door.heard("refuse").stream().map(a -> a.replaceAll(".* for ", "")).distinct()).hasSize(3);
     }
 
     @Test
@@ -171,7 +171,7 @@
         }
         assertThat(door.heard("add")).as("one call for the credit of 1.5, the rest wait").hasSize(1);
         door.answer(-0.5);
-        assertThat(door.heard("push back")).hasSize(5);
+        assertThat(door.heard("refuse")).hasSize(5);
     }
 
     @Test
@@ -264,7 +264,7 @@
         door.pass(600_000);
         door.asked.clear();
         door.take();
-        assertThat(door.heard("push back")).as("a refill of 2 a second has made room").isEmpty();
+        assertThat(door.heard("refuse")).as("a refill of 2 a second has made room").isEmpty();
     }
 
     @Test
@@ -387,14 +387,14 @@
     }
 
     @Test
-    void aCustomerToldToHaveNoRoomIsPushedBackWithoutCallsUntilItsRefillMakesRoom() {
+    void aCustomerToldToHaveNoRoomIsRefusedWithoutCallsUntilItsRefillMakesRoom() {
         door.start(3);
         door.policy.heard(told(11, -1));
         for (int i = 0; i < 10; i++) {
             door.take();
         }
         assertThat(door.heard("add")).isEmpty();
-        assertThat(door.heard("push back")).hasSize(10).first().asString().endsWith(" for 1000000");
+        assertThat(door.heard("refuse")).hasSize(10).first().asString().endsWith(" for 1000000");
         door.pass(1_000_000); // at 2 a second, a credit of -1 is one of 1 now
         door.takeCounted(0);
         assertThat(door.heard("add")).hasSize(1);
@@ -408,7 +408,7 @@
         long customer = (1L << 33) - 2;
         door.policy.heard(told(customer, 0.5f));
         door.policy.take(1, 0, customer, 0, 1, 0, 100, 7_500_000);
-        assertThat(door.heard("push back")).hasSize(1);
+        assertThat(door.heard("refuse")).hasSize(1);
         assertThat(door.heard("add")).isEmpty();
     }
 
@@ -471,7 +471,7 @@
             door.policy.take(500 + i, 0, 500 + i, 0, 1, 0, 100, 7_500_000);
         }
         assertThat(door.heard("add")).isEmpty();
-        assertThat(door.heard("push back")).as("but for one of four, soon after a start").hasSizeLessThan(10);
+        assertThat(door.heard("refuse")).as("but for one of four, soon after a start").hasSizeLessThan(10);
     }
 
     @Test
@@ -481,7 +481,7 @@
             door.policy.take(500 + i, 0, 500 + i, 0, 1, 0, 100, 7_500_000);
         }
         assertThat(door.heard("add")).isEmpty();
-        assertThat(door.heard("push back")).as("some are let in").hasSizeLessThan(7);
+        assertThat(door.heard("refuse")).as("some are let in").hasSizeLessThan(7);
         door.pass(3_000_000);
         door.policy.take(600, 0, 600, 0, 1, 0, 100, 7_500_000);
         assertThat(door.heard("add")).containsExactly("add 3.0");
@@ -506,7 +506,7 @@
             door.policy.take(i, 0, 500 + i, 0, 1, 0, 100, 7_500_000);
         }
         door.pass(60_000);
-        assertThat(door.heard("push back")).isEmpty();
+        assertThat(door.heard("refuse")).isEmpty();
     }
 
     @Test
--- a/src/test/java/hopdrum/policy/FakeHost.java
+++ b/src/test/java/hopdrum/policy/FakeHost.java
@@ -132,8 +132,8 @@
     }
 
     @Override
-    public void pushBack(long rpc, long retryAfterUs) {
-        asked.add("push back " + rpc + " for " + retryAfterUs);
+    public void refuse(long rpc, long retryAfterUs) {
+        asked.add("refuse " + rpc + " for " + retryAfterUs);
     }
 
     @Override
--- a/src/test/java/hopdrum/policy/PartnersStoryTest.java
+++ b/src/test/java/hopdrum/policy/PartnersStoryTest.java
@@ -45,7 +45,7 @@
         Policy.Rpc rpc = door.take();
         door.end(rpc, 0, Outcome.RESET, 5_000);
         assertThat(door.heard("attempt")).hasSize(1);
-        assertThat(door.heard("push back")).hasSize(1); // idempotent: the client may ask again
+        assertThat(door.heard("refuse")).hasSize(1); // idempotent: the client may ask again
     }
 
     @Test
@@ -66,20 +66,20 @@
     }
 
     @Test
-    void aPartnersPushbackIsTheEndOfIt() {
+    void aPartnersRefusalIsTheEndOfIt() {
         Policy.Rpc rpc = door.take();
         rpc.attemptEnded(0, Outcome.MOOT, 5_000, true, 0, FakeHost.NO_REPORT); // the client has it already
         assertThat(rpc.over()).isTrue();
-        assertThat(door.heard("push back")).isEmpty();
+        assertThat(door.heard("refuse")).isEmpty();
         assertThat(door.heard("attempt")).hasSize(1);
     }
 
     @Test
-    void aCustomerWhoseOwnerNobodyKnowsIsPushedBackWithATimeAndNothingIsGuessed() {
+    void aCustomerWhoseOwnerNobodyKnowsIsRefusedWithATimeAndNothingIsGuessed() {
         door.owner = -300_000;
         Policy.Rpc rpc = door.take();
         assertThat(rpc.over()).isTrue();
-        assertThat(door.heard("push back")).containsExactly("push back 1 for 300000");
+        assertThat(door.heard("refuse")).containsExactly("refuse 1 for 300000");
         assertThat(door.heard("add")).isEmpty();
         assertThat(door.heard("attempt")).isEmpty();
     }
--- a/src/test/java/hopdrum/policy/QuotaStoryTest.java
+++ b/src/test/java/hopdrum/policy/QuotaStoryTest.java
@@ -17,14 +17,14 @@
     }
 
     @Test
-    void anRpcBeyondQuotaGivesItsUnitsBackAndIsPushedBackWithATimeToReturn() {
+    void anRpcBeyondQuotaGivesItsUnitsBackAndIsRefusedWithATimeToReturn() {
         door.takeCounted(-5);
-        assertThat(door.asked).startsWith("add 1.0", "add -1.0").last().asString().startsWith("push back 1 for ");
-        assertThat(door.heard("push back").get(0)).doesNotEndWith(" for 0");
+        assertThat(door.asked).startsWith("add 1.0", "add -1.0").last().asString().startsWith("refuse 1 for ");
+        assertThat(door.heard("refuse").get(0)).doesNotEndWith(" for 0");
         door.asked.clear();
         door.take();
         assertThat(door.asked).as("the reading still stands: no call is needed").hasSize(1)
-                .first().asString().startsWith("push back 2");
+                .first().asString().startsWith("refuse 2");
     }
 
     @Test
@@ -35,7 +35,7 @@
         door.take();
         door.pass(20_000);
         assertThat(door.heard("attempt")).as("a burst of 4 over 2 gateways").hasSize(2);
-        assertThat(door.heard("push back 3")).hasSize(1);
+        assertThat(door.heard("refuse 3")).hasSize(1);
     }
 
     @Test
--- a/src/test/java/hopdrum/policy/RulesStoryTest.java
+++ b/src/test/java/hopdrum/policy/RulesStoryTest.java
@@ -21,9 +21,9 @@
         door.start(1);
         Policy.Rpc rpc = door.takeInQuota();
         door.pass(7_490_000);
-        assertThat(door.heard("push back 1")).hasSize(1);
+        assertThat(door.heard("refuse 1")).hasSize(1);
         door.end(rpc, 0, Outcome.CANCELLED, 2_000_000);
-        assertThat(door.heard("push back 1")).hasSize(1);
+        assertThat(door.heard("refuse 1")).hasSize(1);
         assertThat(rpc.over()).isTrue();
     }
 
@@ -35,7 +35,7 @@
         door.end(rpc, 0, Outcome.ERROR, 5_000);
         assertThat(door.heard("attempt 1 ")).hasSize(1);
         assertThat(door.heard("abort 1")).hasSize(1);
-        assertThat(door.heard("push back")).isEmpty();
+        assertThat(door.heard("refuse")).isEmpty();
     }
 
     @Test
@@ -47,7 +47,7 @@
     }
 
     @Test
-    void aDeduplicatedRpcStaysInTheCellOfItsFirstAttemptAndIsNeverPushedBack() {
+    void aDeduplicatedRpcStaysInTheCellOfItsFirstAttemptAndIsNeverRefused() {
         method(Method.Repeat.DEDUPLICATED, Method.Group.CELL);
         door.start(4);
         Policy.Rpc rpc = door.takeInQuota();
@@ -57,7 +57,7 @@
         long parity = door.heard("attempt 1 ").stream().map(a -> a.charAt(a.length() - 1) % 2).distinct().count();
         assertThat(parity).isEqualTo(1);
         assertThat(door.heard("abort 1")).hasSize(1);
-        assertThat(door.heard("push back")).isEmpty();
+        assertThat(door.heard("refuse")).isEmpty();
     }
 
     @Test
@@ -144,7 +144,7 @@
         door.start(3);
         door.take();
         door.policy.counted(door.lastName(), Outcome.OK, 1, 1_000); // its call made the name: a burst of 0.8 is all that the ceiling surely leaves
-        assertThat(door.heard("push back 1")).hasSize(1);
+        assertThat(door.heard("refuse 1")).hasSize(1);
     }
 
     @Test
@@ -155,7 +155,7 @@
             door.take();
         }
         assertThat(door.heard("attempt")).hasSize(2);
-        assertThat(door.heard("push back 3")).hasSize(1);
+        assertThat(door.heard("refuse 3")).hasSize(1);
         assertThat(door.heard("add")).isEmpty();
     }
 
@@ -166,7 +166,7 @@
         rpc.streamStarted(0);
         door.pass(7_490_000);
         assertThat(door.heard("attempt 1 ")).hasSize(1);
-        assertThat(door.heard("push back")).isEmpty();
+        assertThat(door.heard("refuse")).isEmpty();
     }
 
     @Test
--- a/src/test/java/hopdrum/policy/SharersStoryTest.java
+++ b/src/test/java/hopdrum/policy/SharersStoryTest.java
@@ -44,7 +44,7 @@
         door.sharers = new Sharers(0, List.of(of(0, 1)));
         door.start(3).pass(10_000_000);
         assertThat(letIn(door, 3)).isZero();
-        assertThat(door.heard("push back")).hasSize(3).noneMatch(a -> a.endsWith(" for 0"));
+        assertThat(door.heard("refuse")).hasSize(3).noneMatch(a -> a.endsWith(" for 0"));
         door.pass(3_000_000); // a call may be made again
         assertThat(door.takeCounted(2)).as("the counter's word stands above all").isNotNull();
         assertThat(door.heard("attempt")).hasSize(1);
