Discovery is asked again 250 ms after a refusal, as before the shorter look

The look each 100 ms (watches that fall silent) had also made what is refused or ends come again each 100 ms; a hundred front doors that wait for a service to return would ask it ten times a second each.

--- a/src/main/java/hopdrum/frontdoor/Discovery.java
+++ b/src/main/java/hopdrum/frontdoor/Discovery.java
@@ -20,6 +20,7 @@
     private static final long FIRST_WORD_US = 1_000_000; // of a watch opened for a silent one: it is answered at once
     private static final long MOST_FIRST_WORD_US = 2_000_000; // each further one is waited for longer, an outage may last
     private static final long LOOK_US = 100_000;
+    private static final long AGAIN_US = 250_000;       // between two connections for the same, where one is refused or ends
     private static final long CUT_US = 125_000;         // no bytes amid a message for so long: it was cut short
     private static final long NO_LIST_US = 1_000_000;   // a list that is asked for comes at once
 
@@ -41,6 +42,8 @@
     private Connection fetch;
     private Connection former;      // the watch at the address before, until the new one has told its whole list
     private long lastHeardUs;
+    private long watchOpenedUs;
+    private long fetchOpenedUs;
     private long firstWordUs = SILENT_US;   // what a new watch has for its first word
     private boolean wholeNeeded;
     private boolean closed;
@@ -76,6 +79,8 @@
         former = watch;
         watch = null;
         close(fetch);
+        watchOpenedUs = 0;
+        fetchOpenedUs = 0;
         look();
     }
 
@@ -90,11 +95,13 @@
             watch.close();
             owner.lost();
         }
-        if (watch == null) {
+        if (watch == null && loop.nowUs() - watchOpenedUs >= AGAIN_US) {
+            watchOpenedUs = loop.nowUs();
             lastHeardUs = loop.nowUs();
             watch = open(true);
         }
-        if (wholeNeeded && fetch == null) {
+        if (wholeNeeded && fetch == null && loop.nowUs() - fetchOpenedUs >= AGAIN_US) {
+            fetchOpenedUs = loop.nowUs();
             fetch = open(false);
         }
     }
