First turns at a cold backend count from when a gateway knows of it; resting ones get 0.2 s

Cause 1: a slot of half a window in a cycle of some windows is often missed at 100 front doors, where a request goes to one of 50 backends; cold backends stood idle. Now a gateway's first turn begins, by its number, in the cycle after it learns of the backend, and stays open until it is used, as before: those told late or restarted are spread over a cycle, which was the fault. ColdFleetStoryTest holds for it as it stands.

Cause 2: a connection at rest lingered up to 1 s after SIGTERM where its client does not close, and the process with it, so that restarts took longer. Now 0.2 s; after a last answer still 1 s.

--- a/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/memory/ClientConnection.java
@@ -40,7 +40,8 @@
     private static final Log LOG = new Log("clients");
     private static final int MOST_BYTES = 128 << 10;
     private static final long ANSWER_US = 10_000_000;   // to take an answer that may be long
-    private static final long LINGER_US = 1_000_000;
+    private static final long LINGER_US = 1_000_000;    // after a last answer, which may be long on its way
+    private static final long FINISH_US = 200_000;      // at rest: what may be on its way here crosses within that
     private static final long SILENT_US = 2_000_000;    // a connection that asks nothing may be closed then
     private final Owner owner;
     private final long slowUs;
@@ -233,7 +234,7 @@
     protected void drained() {
         stopClock();
         if (closing && !isClosed()) {
-            linger();
+            linger(LINGER_US);
         }
     }
 
@@ -242,15 +243,15 @@
         stopClock();
         closing = true;
         owner.busy(this);
-        linger();
+        linger(FINISH_US);
     }
 
     /** Closing at once could reset the connection under its last answer: the other end has a while to close first. */
-    private void linger() {
+    private void linger(long mostUs) {
         endSending();
         if (!isClosed()) {
             idleSinceUs = loop.nowUs();
-            slow = loop.in(LINGER_US, this::close);
+            slow = loop.in(mostUs, this::close);
             owner.lingers(this);
         }
     }
--- a/src/main/java/hopdrum/policy/Backends.java
+++ b/src/main/java/hopdrum/policy/Backends.java
@@ -26,7 +26,6 @@
     private static final long LAST_EJECT_US = 8_000_000;
     private static final double SLOW_FULL = 0.05;      // of the soft deadline: a full backend says so sooner
     private static final double COLD_MARGIN = 0.5;
-    private static final double COLD_SLOT = 0.5;       // of a window: how long a gateway's slot stays open
     private static final long AGE_NOISE_US = 20_000;   // two first tries differ by less, on their way here
     private static final double TAKEN_OVER_US = 3e6;
 
@@ -104,6 +103,7 @@
 
     final class Backend {
         final Listed listed;
+        final long knownAtUs = now(); // later than its start, where the list is late or this gateway has just started
         boolean ready;
         double taken;               // work answered here of late, in cores
         long takenAtUs;
@@ -148,7 +148,7 @@
 
         /**
          * This gateway's share of what a backend just started can take, counted as work in a window. Guards against the
-         * sum of all gateways: where a share is less than a request, each has a slot of its own in the cycle that fills it.
+         * sum of all gateways: from when they know of it, each has its first turn by its number in the cycle that fills a share.
          */
         boolean coldAllows(Row row) {
             long ageUs = now() - listed.startedAtUs();
@@ -166,8 +166,7 @@
             if (!sentWhileCold.isEmpty()) {
                 return sentWhileCold.stream().mapToLong(s -> s[1]).sum() + costUs <= budgetUs;
             }
-            double turnUs = ageUs - cycleUs * settings.ordinal() / settings.gateways(); // since its first slot began
-            return turnUs >= 0 && (costUs <= budgetUs || turnUs % cycleUs < windowUs * COLD_SLOT);
+            return now() >= knownAtUs + cycleUs * settings.ordinal() / settings.gateways();
         }
 
         void sentCold(Row row) { if (isCold()) sentWhileCold.add(new long[] {now(), (long) row.leastUs}); }
