Looks at the watch are 250 ms apart again, first words have 0.7 s; attempts out are counted

A look each 100 ms woke a hundred front doors ten times a second each, where processor time is the clock, and needed two fields to keep refused connections 250 ms apart. Worst chain now: 3.25 s of silence, then 0.95 and 1.3 s for two silent watches, 5.5 s; the test of that stands as it was.

--- a/src/main/java/hopdrum/frontdoor/Discovery.java
+++ b/src/main/java/hopdrum/frontdoor/Discovery.java
@@ -17,10 +17,9 @@
     private static final int MOST_BYTES = 64 << 10;
     // What a silent watch misses counts as told 6 s later: the silence, and two new watches that say nothing, stay within.
     private static final long SILENT_US = 3_000_000;    // an empty line comes every 2 s: guards against a silent connection
-    private static final long FIRST_WORD_US = 1_000_000; // of a watch opened for a silent one: it is answered at once
+    private static final long FIRST_WORD_US = 700_000;  // of a watch opened for a silent one: it is answered at once
     private static final long MOST_FIRST_WORD_US = 2_000_000; // each further one is waited for longer, an outage may last
-    private static final long LOOK_US = 100_000;
-    private static final long AGAIN_US = 250_000;       // between two connections for the same, where one is refused or ends
+    private static final long AGAIN_US = 250_000;
     private static final long CUT_US = 125_000;         // no bytes amid a message for so long: it was cut short
     private static final long NO_LIST_US = 1_000_000;   // a list that is asked for comes at once
 
@@ -42,8 +41,6 @@
     private Connection fetch;
     private Connection former;      // the watch at the address before, until the new one has told its whole list
     private long lastHeardUs;
-    private long watchOpenedUs;
-    private long fetchOpenedUs;
     private long firstWordUs = SILENT_US;   // what a new watch has for its first word
     private boolean wholeNeeded;
     private boolean closed;
@@ -63,7 +60,7 @@
     private void keepUp() {
         if (!closed) {
             look();
-            loop.in(LOOK_US, this::keepUp);
+            loop.in(AGAIN_US, this::keepUp);
         }
     }
 
@@ -79,8 +76,6 @@
         former = watch;
         watch = null;
         close(fetch);
-        watchOpenedUs = 0;
-        fetchOpenedUs = 0;
         look();
     }
 
@@ -95,13 +90,11 @@
             watch.close();
             owner.lost();
         }
-        if (watch == null && loop.nowUs() - watchOpenedUs >= AGAIN_US) {
-            watchOpenedUs = loop.nowUs();
+        if (watch == null) {
             lastHeardUs = loop.nowUs();
             watch = open(true);
         }
-        if (wholeNeeded && fetch == null && loop.nowUs() - fetchOpenedUs >= AGAIN_US) {
-            fetchOpenedUs = loop.nowUs();
+        if (wholeNeeded && fetch == null) {
             fetch = open(false);
         }
     }
--- a/src/main/java/hopdrum/policy/Backends.java
+++ b/src/main/java/hopdrum/policy/Backends.java
@@ -160,11 +160,10 @@
             double windowUs = settings.coldWindowUs();
             double budgetUs = COLD_MARGIN * settings.coldFactor() * part * windowUs * warmPeersTake()
                     / settings.gateways();
-            double costUs = row.leastUs;
-            double cycleUs = windowUs * Math.max(1, costUs / budgetUs);
+            double cycleUs = windowUs * Math.max(1, row.leastUs / budgetUs);
             while (!sentWhileCold.isEmpty() && sentWhileCold.peek()[0] < now() - cycleUs) sentWhileCold.poll();
             if (!sentWhileCold.isEmpty()) {
-                return sentWhileCold.stream().mapToLong(s -> s[1]).sum() + costUs <= budgetUs;
+                return sentWhileCold.stream().mapToLong(s -> s[1]).sum() + row.leastUs <= budgetUs;
             }
             return now() >= knownAtUs + cycleUs * settings.ordinal() / settings.gateways();
         }
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -167,6 +167,7 @@
             rpc.customer.open++;
         }
         rpc.attempts.add(attempt);
+        rpc.out++;
         rpc.stage = Stage.OUT;
         backend.out++;
         backend.sentCold(rpc.row);
@@ -185,7 +186,7 @@
         boolean mute = backend.lastAnswerUs < attempt.sentUs;
         if (mute && ++backend.suspicions >= 2) backend.eject();
         // Only away from an ejected backend: elsewhere a long RPC is long too.
-        if (backend.usable() || rpc.isDone() || rpc.outCount() != 1) return;
+        if (backend.usable() || rpc.isDone() || rpc.out != 1) return;
         if (settings.secondCopies()) {
             sendFurther(rpc, true);
         } else if (settings.mayCancel() && rpc.mayRepeat() && repeats >= 1) {
@@ -246,6 +247,7 @@
         private final long giveUpAtUs;
         final long order = orders++;
         private final List<Attempt> attempts = new ArrayList<>(1);
+        private int out;    // of them
         Backends tier;      // whose backends may take it; before it is in line, nobody's
         Stage stage = Stage.NEW;
         boolean admitted;
@@ -271,6 +273,7 @@
             Backend backend = attempt.backend;
             long tookUs = Math.max(1, wholeUs - backend.farUs());
             attempt.out = false;
+            out--;
             attempt.neverRan = outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED
                     || outcome == Outcome.MOOT;
             backend.out--;
@@ -291,7 +294,7 @@
             }
             if (!isDone() && over) {
                 close();
-            } else if (!isDone() && outCount() == 0 && !tier.line.contains(this)
+            } else if (!isDone() && out == 0 && !tier.line.contains(this)
                     && (outcome == Outcome.MOOT || outcome == Outcome.TIMED_OUT || streaming
                     || !sendFurther(this, !attempt.neverRan))) {
                 finish(this, 0);
@@ -310,7 +313,7 @@
         }
 
         /** True once nothing more will come of this RPC. */
-        public boolean over() { return isDone() && outCount() == 0; }
+        public boolean over() { return isDone() && out == 0; }
 
         private boolean isDone() { return stage == Stage.DONE; }
 
@@ -335,8 +338,6 @@
             }
         }
 
-        private long outCount() { return attempts.stream().filter(c -> c.out).count(); }
-
         private Attempt firstThatMayHaveRun() {
             return attempts.stream().filter(c -> !c.neverRan).findFirst().orElse(null);
         }
