The crossing of a resting connection's end is told by a write that would fail after a reset

The test told the reset by the loop having ended, which hung it for 10 s, and would have hung too where a slow machine let the 0.2 s pass. Reading can't tell it: an end of stream hides a reset behind it.

--- a/src/test/java/hopdrum/frontdoor/EndingPathsTest.java
+++ b/src/test/java/hopdrum/frontdoor/EndingPathsTest.java
@@ -192,12 +192,15 @@
         assertThat(resting.send(rpc("t1", "order", "")).hears()).endsWith("for t1");
         loop.ask(door::stop);
         assertThat(resting.hears()).as("closed while it rests").isNull();
-        resting.send(rpc("t2", "order", ""));
-        settle();
+        String crossing = rpc("t2", "order", "");
+        resting.send(crossing.substring(0, 40));
+        CompletableFuture<Void> handled = new CompletableFuture<>();
+        loop.ask(() -> handled.complete(null));
+        CompletableFuture.anyOf(handled, running).get(10, TimeUnit.SECONDS);
+        resting.send(crossing.substring(40)); // fails after a reset
         assertThat(resting.socket.getInputStream().read()).as("an end, no reset").isEqualTo(-1);
-        assertThat(backend.requests).hasSize(1);
-        resting.socket.close();
         running.get(10, TimeUnit.SECONDS);
+        assertThat(backend.requests).as("dropped").hasSize(1);
     }
 
     @Test
