--- a/src/test/java/hopdrum/frontdoor/EndingPathsTest.java
+++ b/src/test/java/hopdrum/frontdoor/EndingPathsTest.java
@@ -91,6 +91,14 @@
         settings = settings.replace(setting, value);
     }
 
+    /** The backend holds each answer, this body and the request's trace id, until then. */
+    private void answersOnce(CompletableFuture<Void> released, String body) {
+        backend.answer = request -> {
+            released.join();
+            return ok(body + field(request, "X-Trace-Id"));
+        };
+    }
+
     /** All that has reached the front door's sockets by now has been handled. */
     private void settle() throws Exception {
         for (int i = 0; i < 2; i++) {
@@ -154,10 +162,7 @@
     @Test
     void requestsPipelinedBeforeSigtermAreAllAnsweredAndTheLastAnswerClosesTheConnection() throws Exception {
         CompletableFuture<Void> answer = new CompletableFuture<>();
-        backend.answer = request -> {
-            answer.join();
-            return ok("for " + field(request, "X-Trace-Id"));
-        };
+        answersOnce(answer, "for ");
         start();
         Client client = new Client().send(customer(1, rpc("t1", "order", "")) + customer(2, rpc("t2", "order", ""))
                 + customer(3, rpc("t3", "order", "")));
@@ -207,17 +212,14 @@
     void aLongAnswerThatItsClientReadsOnlyAfterTheProcessHasEndedIsWhole() throws Exception {
         String body = "0123456789abcdef".repeat(60_000);
         CompletableFuture<Void> answer = new CompletableFuture<>();
-        backend.answer = request -> {
-            answer.join();
-            return ok(body);
-        };
+        answersOnce(answer, body);
         start();
         Client slow = new Client().send(rpc("t1", "order", ""));
         assertThat(backend.asked()).contains("t1");
         loop.ask(door::stop);
         answer.complete(null);
         running.get(10, TimeUnit.SECONDS);
-        assertThat(slow.hears()).as("nothing of it is lost with the process").endsWith(body);
+        assertThat(slow.hears()).as("nothing of it is lost with the process").endsWith(body + "t1");
     }
 
     // ---- A client that has gone ----
@@ -370,10 +372,7 @@
     void aClientThatLeavesBehindAFullBufferIsFoundOutWithTheFirstAnswerThatItDoesNotTake(Leaving how) throws Exception {
         with("\"PerSecond\":1.0,\"Burst\":2.0", "\"PerSecond\":1000000.0,\"Burst\":1000000.0");
         CompletableFuture<Void> answer = new CompletableFuture<>();
-        backend.answer = request -> {
-            answer.join();
-            return ok("for " + field(request, "X-Trace-Id"));
-        };
+        answersOnce(answer, "for ");
         start();
         StringBuilder all = new StringBuilder();
         for (int i = 0; i < PIPELINED; i++) {
