--- a/review/src/review/Client.java
+++ b/review/src/review/Client.java
@@ -11,7 +11,13 @@
 /** A usual client: keeps its connection, sends one request at a time, and waits for the answer. */
 final class Client implements AutoCloseable {
     /** How a request ended, seen by its client. {@code answer} is null if none came. */
-    record Result(String traceId, Http.Message answer, double sentAt, double endedAt, String ending) {}
+    record Result(String traceId, Http.Message answer, double sentAt, double endedAt, String ending) {
+        boolean timedOut() {
+            return ending.equals(NO_ANSWER);
+        }
+    }
+
+    private static final String NO_ANSWER = "no answer in time";
 
     private final InetSocketAddress frontDoor;
     private final long customer;
@@ -40,7 +46,7 @@
     }
 
     /** Sends an area-status request and waits for its answer until {@code grace} seconds after the client's time. */
-    Result read(long patienceMs, double grace) {
+    Result send(long patienceMs, double grace) {
         String traceId = newTraceId();
         boolean reused = socket != null;
         double sentAt = Rig.seconds();
@@ -60,14 +66,14 @@
                 close();
             }
             if (answer == null && reused) {
-                return read(patienceMs, grace); // the close has crossed the request: it is sent once more
+                return send(patienceMs, grace); // the close has crossed the request: it is sent once more
             }
             Rig.note("request " + traceId + " is answered: "
                     + (answer == null ? "closed" : answer.status() + " " + answer.text()));
             return new Result(traceId, answer, sentAt, Rig.seconds(), answer == null ? "closed" : "answered");
         } catch (SocketTimeoutException e) {
             close();
-            return new Result(traceId, null, sentAt, Rig.seconds(), "no answer in time");
+            return new Result(traceId, null, sentAt, Rig.seconds(), NO_ANSWER);
         } catch (IOException e) {
             close();
             return new Result(traceId, null, sentAt, Rig.seconds(), e.toString());
--- a/review/src/review/LateSecondAnswer.java
+++ b/review/src/review/LateSecondAnswer.java
@@ -71,7 +71,7 @@
             clients.add(Rig.thread("client", () -> {
                 try (Client client = new Client(door.address, customer)) {
                     while (Rig.seconds() < until) {
-                        Client.Result result = client.read(3000, 0.5);
+                        Client.Result result = client.send(3000, 0.5);
                         if (result.answer() == null || result.answer().status() != 200) {
                             others.incrementAndGet();
                         } else if (result.answer().text().equals(Backend.bodyFor(result.traceId()))) {
--- a/review/src/review/StalledClients.java
+++ b/review/src/review/StalledClients.java
@@ -42,7 +42,7 @@
             Rig.thread("client", () -> {
                 try (Client client = new Client(door.address, customer)) {
                     while (true) {
-                        Client.Result result = client.read(3000, 0.5);
+                        Client.Result result = client.send(3000, 0.5);
                         boolean good = result.answer() != null && result.answer().status() == 200;
                         (good ? ok : failed).incrementAndGet();
                         if (result.answer() == null) {
