Review: the way to a backend stays inside the site's range; a failed start exits with 2

The path of case 1 took some 0.5 ms where 0.3 were asked for, since sleeping is coarse, and the site states 0.16 to 0.32. An error in a case's own process, or missing classes, would have ended with 1.

--- a/review/src/review/HalfWrittenClients.java
+++ b/review/src/review/HalfWrittenClients.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,6 +14,7 @@
     private static final int BAD_CLIENTS = 1000;
     private static final int USUAL_CLIENTS = 24;
     private static final double QUIET = 4;
+    private static final Path SOMAXCONN = Path.of("/proc/sys/net/core/somaxconn"); // only read
     private static final int WAVES = 4;
     private static final double WAVE = 6;
     private static final double PLAY = QUIET + WAVES * WAVE;
@@ -33,6 +35,9 @@
     }
 
     private static boolean run(Path temporary) throws Exception {
+        if (Integer.parseInt(Files.readString(SOMAXCONN).strip()) < BAD_CLIENTS + USUAL_CLIENTS) {
+            throw new IOException("this machine does not accept as many connections as the case needs");
+        }
         Discovery discovery = new Discovery();
         Counter counter = new Counter();
         for (int i = 0; i < 6; i++) {
--- a/review/src/review/LateSecondAnswer.java
+++ b/review/src/review/LateSecondAnswer.java
@@ -12,9 +12,9 @@
 /** Case: some answers come a second time, some milliseconds late, while nothing else waits on the connection. */
 final class LateSecondAnswer {
     private static final int BACKENDS = 6;
-    private static final double SHARE = 0.05; // of the answers that come a second time
+    private static final double SHARE = 0.1; // of the answers that come a second time
     private static final double LATE = 0.005; // after the first
-    private static final double ONE_WAY = 0.0003; // the way to a backend, always; the site file states 0.16 to 0.32 ms
+    private static final double ONE_WAY = 0.00015; // the way to a backend, always, less what loopback adds
     private static final int CLIENTS = 24;
     private static final double PLAY = 30;
     private static final AtomicInteger SECOND_ANSWERS = new AtomicInteger();
@@ -45,6 +45,7 @@
     }
 
     private static boolean run(Path temporary) throws Exception {
+        Rig.note("the way to a backend takes " + DelayLine.measureMs(ONE_WAY) + " ms (the site states 0.16 to 0.32)");
         Discovery discovery = new Discovery();
         Counter counter = new Counter();
         for (int i = 0; i < BACKENDS; i++) {
--- a/review/src/review/Rig.java
+++ b/review/src/review/Rig.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.locks.LockSupport;
@@ -26,6 +27,7 @@
     private static final long START_NANOS = System.nanoTime();
     private static final List<FrontDoor> FRONT_DOORS = new ArrayList<>();
     private static PrintWriter record;
+    private static volatile Path temporary;
 
     private Rig() {}
 
@@ -34,35 +36,59 @@
         boolean run(Path temporary) throws Exception;
     }
 
-    /** Runs a case and ends this process with its exit code. All processes that it started end before. */
-    static void run(String folder, Case body) throws IOException {
-        record = new PrintWriter(Files.newBufferedWriter(Path.of(folder, "record.txt")), true);
-        Path temporary = Files.createTempDirectory("review");
-        Runtime.getRuntime().addShutdownHook(new Thread(Rig::killAll));
+    /**
+     * Runs a case and ends this process with its exit code. All processes that it started end before. Whatever goes
+     * wrong in the case itself is no broken rule.
+     */
+    static void run(String folder, Case body) {
         thread("watchdog", () -> {
             sleep(LONGEST_RUN);
             note("could not run: not over after " + LONGEST_RUN + " s");
-            killAll();
-            Runtime.getRuntime().halt(COULD_NOT_RUN);
+            end(folder, COULD_NOT_RUN);
         });
+        Runtime.getRuntime().addShutdownHook(new Thread(Rig::cleanUp));
         int exitCode = COULD_NOT_RUN;
         try {
+            record = new PrintWriter(Files.newBufferedWriter(Path.of(folder, "record.txt")), true);
             note("disruption: " + (TROUBLE ? "on" : "off (TROUBLE=0)"));
+            temporary = Files.createTempDirectory("review");
             exitCode = body.run(temporary) ? HELD : BROKEN;
-        } catch (Exception e) {
+        } catch (Throwable e) {
             note("could not run: " + e);
             e.printStackTrace();
         }
-        killAll();
-        deleteAll(temporary);
-        note(exitCode == HELD ? "the rule held" : exitCode == BROKEN ? "THE RULE WAS BROKEN" : "the case did not run");
-        System.out.println((exitCode == HELD ? "held" : exitCode == BROKEN ? "broken" : "not run") + ", see " + folder
-                + "/record.txt");
+        end(folder, exitCode);
+    }
+
+    private static synchronized void end(String folder, int exitCode) {
+        cleanUp();
+        String verdict = exitCode == HELD ? "the rule held" : exitCode == BROKEN ? "THE RULE WAS BROKEN" : "not run";
+        note(verdict);
+        System.out.println(folder + ": " + verdict);
         Runtime.getRuntime().halt(exitCode);
     }
 
+    /** Ends all front doors and removes the temporary folder; also run if this process is told to end. */
+    private static synchronized void cleanUp() {
+        FRONT_DOORS.forEach(FrontDoor::kill);
+        FRONT_DOORS.clear();
+        if (temporary != null) {
+            try (var files = Files.walk(temporary)) {
+                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(file);
+                }
+                temporary = null;
+            } catch (IOException e) {
+                note("the temporary folder stays: " + e);
+            }
+        }
+    }
+
     /** Writes a line with the seconds since the start into the record. */
     static synchronized void note(String line) {
+        if (record == null) {
+            return;
+        }
         record.println(String.format(Locale.ROOT, "%9.4f  %s", seconds(), line));
     }
 
@@ -91,20 +117,4 @@
     static synchronized void started(FrontDoor frontDoor) {
         FRONT_DOORS.add(frontDoor);
     }
-
-    private static void killAll() {
-        List<FrontDoor> all;
-        synchronized (Rig.class) {
-            all = List.copyOf(FRONT_DOORS);
-        }
-        all.forEach(FrontDoor::kill);
-    }
-
-    private static void deleteAll(Path folder) throws IOException {
-        try (var files = Files.walk(folder)) {
-            for (Path file : files.sorted((a, b) -> b.compareTo(a)).toList()) {
-                Files.delete(file);
-            }
-        }
-    }
 }
