--- a/review/src/review/HalfWrittenClients.java
+++ b/review/src/review/HalfWrittenClients.java
@@ -35,7 +35,7 @@
     }
 
     private static boolean run(Path temporary) throws Exception {
-        if (Integer.parseInt(Files.readString(SOMAXCONN).strip()) < BAD_CLIENTS + USUAL_CLIENTS) {
+        if (Integer.parseInt(Files.newBufferedReader(SOMAXCONN).readLine().strip()) < BAD_CLIENTS + USUAL_CLIENTS) {
             throw new IOException("this machine does not accept as many connections as the case needs");
         }
         Discovery discovery = new Discovery();
