--- a/src/main/java/hopdrum/frontdoor/AttemptDispatcher.java
+++ b/src/main/java/hopdrum/frontdoor/AttemptDispatcher.java
@@ -105,12 +105,15 @@
     @Override
     public void forwardResponse(Attempt attempt, RingBuffer bytes, HttpReader response) {
         ClientConnection client = attempt.request().detachClient();
-        if (client != null) {
-            attempt.markResponseForwarded();
+        if (client == null) {
+            return;
+        }
+        attempt.markResponseForwarded();
+        if (client.forwardResponse(bytes, response)) {
             tally.responseForwarded(response.status());
-            if (!client.forwardResponse(bytes, response)) {
-                client.close(); // the client does not read, so its send buffer still holds earlier responses
-            }
+        } else {
+            tally.requestAborted();
+            client.responseNotForwarded();
         }
     }
 
--- a/src/main/java/hopdrum/frontdoor/ClientListener.java
+++ b/src/main/java/hopdrum/frontdoor/ClientListener.java
@@ -13,6 +13,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.Set;
 
@@ -263,6 +264,11 @@
         new ArrayList<>(openClients).forEach(ClientListener::closeGracefullyIfIdle);
     }
 
+    /** Adds the open client connections to a collection. */
+    void collectConnections(Collection<? super ClientConnection> to) {
+        to.addAll(openClients);
+    }
+
     /** Whether no client is connected. */
     boolean isEmpty() {
         return openClients.isEmpty();
--- a/src/main/java/hopdrum/frontdoor/DiscoveryClient.java
+++ b/src/main/java/hopdrum/frontdoor/DiscoveryClient.java
@@ -1,6 +1,7 @@
 package hopdrum.frontdoor;
 
 import hopdrum.frontdoor.connection.DiscoveredBackend;
+import hopdrum.frontdoor.connection.MemoryBudget;
 import hopdrum.frontdoor.connection.ResourceBudget;
 import hopdrum.frontdoor.lifecycle.EventLoop;
 import hopdrum.frontdoor.lifecycle.Log;
@@ -209,7 +210,11 @@
         private long lastReadUs = DiscoveryClient.this.loop.nowUs();
 
         Connection(boolean isWatch) throws IOException {
-            super(DiscoveryClient.this.loop, address, MAX_BUFFER_BYTES, MAX_BUFFER_BYTES, budget);
+            super(
+                    DiscoveryClient.this.loop,
+                    address,
+                    new BufferLimits(MAX_BUFFER_BYTES, budget.memoryFor(MemoryBudget.Purpose.CONTROL)),
+                    new BufferLimits(MAX_BUFFER_BYTES, budget.memoryFor(MemoryBudget.Purpose.CONTROL)));
             this.isWatch = isWatch;
             this.reader = new EndpointListReader(line -> lineReceived(line, this));
             EndpointListReader.writeRequest(
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -8,12 +8,14 @@
 import hopdrum.frontdoor.lifecycle.Config;
 import hopdrum.frontdoor.lifecycle.EventLoop;
 import hopdrum.frontdoor.lifecycle.Log;
+import hopdrum.frontdoor.lifecycle.StreamConnection;
 import hopdrum.host.QuotaLease;
 import hopdrum.host.ShardOwnership;
 import hopdrum.host.ZoneLatencies;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.SocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
 
@@ -24,7 +26,9 @@
 public final class FrontDoor {
     private static final Log LOG = new Log("frontdoor");
     private static final long TRANSFER_TIMEOUT_US = 2_500_000;
-    private static final long BUFFER_MEMORY_DIVISOR = 6; // buffers get one sixth
+    private static final long BYTES_PER_MIB = 1 << 20;
+    private static final long BUFFER_MEMORY_DIVISOR = 6; // buffers get at most one sixth of the process's memory
+    private static final long BUFFER_HEAP_DIVISOR = 3; // and at most one third of the heap
     // After a release discovery may serve its clients one by one.
     private static final long DISCOVERY_TIMEOUT_US = 3_000_000;
     private static final long HOUSEKEEPING_INTERVAL_US = 250_000;
@@ -53,8 +57,7 @@
     public FrontDoor(Config config, EventLoop loop) throws IOException {
         this.config = config;
         this.loop = loop;
-        budget = new ResourceBudget(
-                config.maxDescriptors(), config.memoryMb() * (1L << 20) / BUFFER_MEMORY_DIVISOR, TRANSFER_TIMEOUT_US);
+        budget = new ResourceBudget(config.maxDescriptors(), maxBufferBytes(config), TRANSFER_TIMEOUT_US);
         directory = new BackendDirectory(config.zones(), config.kinds());
         RequestTally tally = new RequestTally(loop, requests, budget);
         AttemptDispatcher attempts = new AttemptDispatcher(config, loop, directory, requests, budget, tally);
@@ -78,12 +81,27 @@
                 config.listen(),
                 budget,
                 new RequestHandler(config, loop, host.policy(), requests, tally, fleet, endpoints));
+        new BufferReclaimer(loop, budget.memory(), this::openConnections);
         // The timeout starts when the loop runs: the loop's clock does not advance before.
         loop.execute(() -> loop.scheduleAfter(DISCOVERY_TIMEOUT_US, this::startAccepting));
         loop.scheduleAfter(HOUSEKEEPING_INTERVAL_US, this::closeUnusedConnections);
         tally.start();
     }
 
+    /** The buffers are on the heap, whose size the command line sets and not the configuration. */
+    private static long maxBufferBytes(Config config) {
+        return Math.min(
+                config.memoryMb() * BYTES_PER_MIB / BUFFER_MEMORY_DIVISOR,
+                Runtime.getRuntime().maxMemory() / BUFFER_HEAP_DIVISOR);
+    }
+
+    private List<StreamConnection> openConnections() {
+        List<StreamConnection> connections = new ArrayList<>();
+        clients.collectConnections(connections);
+        directory.collectConnections(connections);
+        return connections;
+    }
+
     /**
      * Returns the address on which clients are served.
      *
--- a/src/main/java/hopdrum/frontdoor/RequestTally.java
+++ b/src/main/java/hopdrum/frontdoor/RequestTally.java
@@ -9,6 +9,7 @@
 final class RequestTally {
     private static final Log LOG = new Log("frontdoor");
     private static final long SUMMARY_INTERVAL_US = 10_000_000;
+    private static final long BYTES_PER_KIB = 1 << 10;
 
     private final EventLoop loop;
     private final InFlightRequests requests;
@@ -59,7 +60,8 @@
                     "requests in the last 10 s",
                     "received=" + received + " ok=" + ok + " rejected=" + rejected + " aborted=" + aborted
                             + " disconnected=" + disconnected + "; now in_flight=" + requests.size() + " clients="
-                            + budget.clientConnections() + " backends=" + budget.backendConnections());
+                            + budget.clientConnections() + " backends=" + budget.backendConnections() + " buffer_kib="
+                            + budget.memory().usedBytes() / BYTES_PER_KIB);
             received = 0;
             ok = 0;
             rejected = 0;
--- a/src/main/java/hopdrum/frontdoor/connection/BackendConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/BackendConnection.java
@@ -1,5 +1,6 @@
 package hopdrum.frontdoor.connection;
 
+import hopdrum.frontdoor.connection.MemoryBudget.Purpose;
 import hopdrum.frontdoor.lifecycle.EventLoop;
 import hopdrum.frontdoor.lifecycle.Log;
 import hopdrum.frontdoor.lifecycle.StreamConnection;
@@ -65,7 +66,7 @@
      * @param connectTimeoutUs the time after which a connection that is not established counts as failed, in
      *     microseconds
      * @param reportFields the fields of the load report to read, in the order in which the listener gets them
-     * @param budget is notified of the memory that the connection's buffers take
+     * @param budget limits the memory that the connection's buffers take
      * @param listener is notified of the connection's events
      * @throws IOException if no socket can be opened, or if connecting fails at once
      */
@@ -77,7 +78,11 @@
             ResourceBudget budget,
             Listener listener)
             throws IOException {
-        super(loop, pool.address(), HttpReader.RESPONSE_RING_BYTES, MAX_REQUEST_BYTES, budget);
+        super(
+                loop,
+                pool.address(),
+                new BufferLimits(HttpReader.RESPONSE_RING_BYTES, budget.memoryFor(Purpose.INCOMING_RESPONSE)),
+                new BufferLimits(MAX_REQUEST_BYTES, budget.memoryFor(Purpose.OUTGOING_REQUEST)));
         this.pool = pool;
         this.listener = listener;
         this.reportFields = reportFields;
@@ -174,17 +179,23 @@
             } else if (reader.isCloseDelimited() && reader.status() != 200) {
                 reader.completeAtHead();
                 completeResponse(false);
-            } else if (lastPartialReadUs == 0 && !in.isEmpty()) {
-                lastPartialReadUs = loop.nowUs();
-                watchForStall(STALL_TIMEOUT_US, attempt);
             } else {
-                lastPartialReadUs = loop.nowUs();
+                awaitRestOfResponse();
             }
         } catch (MalformedMessageException e) {
             failUnreadableResponse(e.getMessage());
         }
     }
 
+    private void awaitRestOfResponse() {
+        boolean isFirstPart = lastPartialReadUs == 0 && !in.isEmpty();
+        lastPartialReadUs = loop.nowUs();
+        awaitReceiveMemory(reader.missingBytes(in));
+        if (isFirstPart) {
+            watchForStall(STALL_TIMEOUT_US, attempt);
+        }
+    }
+
     /** The backend has executed the request, and a malformed response says nothing about the backend's health. */
     private void failUnreadableResponse(String reason) {
         LOG.warning("a response of a backend cannot be read", reason);
@@ -193,11 +204,33 @@
         listener.attemptEnded(endedAttempt, Outcome.UNREADABLE, NO_REPORT);
     }
 
+    /** The buffers' memory while the rest of a response is awaited, or while the backend does not read the request. */
+    @Override
+    public int reclaimableBytes() {
+        boolean isTransferring = attempt != null && !isClosed() && !(in.isEmpty() && out.isEmpty());
+        return isTransferring ? in.capacity() + out.capacity() - 2 * RingBuffer.INITIAL_CAPACITY : 0;
+    }
+
+    /** Ends the attempt; one whose request was not written completely has never run. */
+    @Override
+    public void abandonTransfer() {
+        if (out.isEmpty()) {
+            failUnreadableResponse("there is no buffer memory for its rest");
+        } else {
+            LOG.warning("gave up writing a request to a backend to free buffer memory", null);
+            Attempt endedAttempt = detachAttempt();
+            close();
+            listener.attemptEnded(endedAttempt, Outcome.CONNECT_FAILED, NO_REPORT);
+        }
+    }
+
     /** Ends an attempt whose response has begun and then stalls, since its client would wait in vain. */
     private void watchForStall(long delayUs, Attempt watchedAttempt) {
         loop.scheduleAfter(delayUs, () -> {
             long remainingUs = lastPartialReadUs + STALL_TIMEOUT_US - loop.nowUs();
-            if (attempt == watchedAttempt && !isClosed() && remainingUs > 0) {
+            if (attempt == watchedAttempt && isAwaitingMemory()) {
+                watchForStall(STALL_TIMEOUT_US, watchedAttempt); // the backend is not to blame
+            } else if (attempt == watchedAttempt && !isClosed() && remainingUs > 0) {
                 watchForStall(remainingUs, watchedAttempt);
             } else if (attempt == watchedAttempt && !isClosed()) {
                 failUnreadableResponse("the response stalled before its end");
--- a/src/main/java/hopdrum/frontdoor/connection/BackendDirectory.java
+++ b/src/main/java/hopdrum/frontdoor/connection/BackendDirectory.java
@@ -4,6 +4,7 @@
 import hopdrum.host.Endpoint;
 import hopdrum.host.ShardOwnership;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -43,6 +44,11 @@
         return byId.values();
     }
 
+    /** Adds the open connections to all backends to a collection. */
+    public void collectConnections(Collection<? super BackendConnection> to) {
+        byId.values().forEach(pool -> pool.collectConnections(to));
+    }
+
     /** Closes the connection that has been idle longest, if any, to make room for another one. */
     public void closeLongestIdle() {
         BackendConnection longestIdle = null;
--- a/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
@@ -1,5 +1,6 @@
 package hopdrum.frontdoor.connection;
 
+import hopdrum.frontdoor.connection.MemoryBudget.Purpose;
 import hopdrum.frontdoor.lifecycle.EventLoop;
 import hopdrum.frontdoor.lifecycle.Log;
 import hopdrum.frontdoor.lifecycle.StreamConnection;
@@ -69,13 +70,17 @@
      *
      * @param loop the event loop on which the connection is handled
      * @param channel the connected channel
-     * @param budget limits the transfer time, and is notified of the memory that the connection's buffers take
+     * @param budget limits the transfer time and the memory that the connection's buffers take
      * @param listener is notified of the connection's events
      * @throws IOException if the connection has already ended
      */
     public ClientConnection(EventLoop loop, SocketChannel channel, ResourceBudget budget, Listener listener)
             throws IOException {
-        super(loop, channel, MAX_MESSAGE_BYTES, HttpReader.RESPONSE_RING_BYTES, budget);
+        super(
+                loop,
+                channel,
+                new BufferLimits(MAX_MESSAGE_BYTES, budget.memoryFor(Purpose.INCOMING_REQUEST)),
+                new BufferLimits(HttpReader.RESPONSE_RING_BYTES, budget.memoryFor(Purpose.OUTGOING_RESPONSE)));
         this.listener = listener;
         this.messageTimeoutUs = budget.transferTimeoutUs();
         timeout = loop.scheduleAfter(FIRST_MESSAGE_TIMEOUT_US, this::firstMessageTimedOut);
@@ -164,6 +169,7 @@
             if (in.isFull()) {
                 throw new MalformedMessageException(413, "the message exceeds the receive buffer");
             }
+            awaitReceiveMemory(reader.missingBytes(in));
             if (timeout == null) {
                 // A client must not occupy a connection by sending slowly.
                 timeout = loop.scheduleAfter(messageTimeoutUs, this::transferTimedOut);
@@ -201,6 +207,43 @@
         }
     }
 
+    /**
+     * The receive buffer counts while the rest of a request is awaited, and the send buffer while responses wait for
+     * the client to read. A request that is in flight keeps its bytes, since it may have to be forwarded again.
+     */
+    @Override
+    public int reclaimableBytes() {
+        boolean awaitsRestOfMessage = request == null && !closing && !in.isEmpty();
+        int bytes = (awaitsRestOfMessage ? grownBytes(in) : 0) + (out.isEmpty() ? 0 : grownBytes(out));
+        return isClosed() ? 0 : bytes;
+    }
+
+    private static int grownBytes(RingBuffer buffer) {
+        return buffer.capacity() - RingBuffer.INITIAL_CAPACITY;
+    }
+
+    /** Rejects the request whose rest is awaited, or disconnects a client that does not read its responses. */
+    @Override
+    public void abandonTransfer() {
+        if (!out.isEmpty()) {
+            LOG.warning("disconnecting a client that does not read, to free buffer memory", null);
+            close();
+        } else {
+            LOG.warning("rejecting an incomplete request to free buffer memory", null);
+            cancelTimeout();
+            respond(503, 0, true); // the request has not been forwarded, so repeating it is harmless
+        }
+    }
+
+    @Override
+    protected void receiveMemoryDenied() {
+        if (request == null) {
+            awaitReceiveMemory(reader.missingBytes(in));
+        } else {
+            suspendReading(); // until the response frees the request's bytes
+        }
+    }
+
     private void cancelTimeout() {
         if (timeout != null) {
             timeout.cancel();
@@ -213,7 +256,7 @@
      *
      * @param from the receive buffer of the backend's connection, which holds the response
      * @param response the positions of the response's parts in {@code from}
-     * @return false if the send buffer has no room for the response
+     * @return false if the send buffer has no room for the response, or gets no memory for it
      */
     public boolean forwardResponse(RingBuffer from, HttpReader response) {
         boolean lastResponse = !reader.keepAlive() || listener.closesAfterResponse(in.size() > reader.messageTo());
@@ -224,6 +267,20 @@
         return true;
     }
 
+    /**
+     * Answers a request whose response {@link #forwardResponse} could not take. The request has run, so the answer is
+     * not one that allows repeating it. A client that does not read, so that earlier responses are still buffered, is
+     * disconnected.
+     */
+    public void responseNotForwarded() {
+        if (out.isEmpty()) {
+            LOG.warning("a response was dropped for lack of buffer memory", null);
+            respond(500, 0, false);
+        } else {
+            close();
+        }
+    }
+
     /**
      * Sends an empty response that the front door itself gives.
      *
@@ -246,11 +303,13 @@
         closing = lastResponse;
         if (lastResponse) {
             in.skip(in.size());
+            in.shrink();
         } else {
             reader.removeMessage(in);
             messageArrivalUs = in.isEmpty() ? 0 : nextMessageArrivalUs == 0 ? messageArrivalUs : nextMessageArrivalUs;
             nextMessageArrivalUs = 0;
         }
+        resumeReading();
         if (out.size() > 0) {
             flush();
         }
--- a/src/main/java/hopdrum/frontdoor/connection/ConnectionPool.java
+++ b/src/main/java/hopdrum/frontdoor/connection/ConnectionPool.java
@@ -3,6 +3,7 @@
 import hopdrum.host.Endpoint;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -122,6 +123,11 @@
         return idleConnections.peekFirst();
     }
 
+    /** Adds the open connections to a collection. */
+    void collectConnections(Collection<? super BackendConnection> to) {
+        to.addAll(openConnections);
+    }
+
     /** Closes all connections. */
     public void closeAll() {
         while (!openConnections.isEmpty()) {
--- a/src/main/java/hopdrum/frontdoor/connection/CounterConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/CounterConnection.java
@@ -1,5 +1,6 @@
 package hopdrum.frontdoor.connection;
 
+import hopdrum.frontdoor.connection.MemoryBudget.Purpose;
 import hopdrum.frontdoor.lifecycle.EventLoop;
 import hopdrum.frontdoor.lifecycle.StreamConnection;
 import hopdrum.frontdoor.wire.CounterProtocol;
@@ -68,14 +69,18 @@
      * @param loop the event loop on which the connection is handled
      * @param address the counter's address
      * @param timeoutUs the time after which a call counts as timed out, in microseconds
-     * @param budget is notified of the memory that the connection's buffers take
+     * @param budget counts the memory that the connection's buffers take
      * @param listener is notified of the connection's events
      * @throws IOException if no socket can be opened, or if connecting fails at once
      */
     public CounterConnection(
             EventLoop loop, SocketAddress address, long timeoutUs, ResourceBudget budget, Listener listener)
             throws IOException {
-        super(loop, address, MAX_BUFFER_BYTES, MAX_BUFFER_BYTES, budget);
+        super(
+                loop,
+                address,
+                new BufferLimits(MAX_BUFFER_BYTES, budget.memoryFor(Purpose.CONTROL)),
+                new BufferLimits(MAX_BUFFER_BYTES, budget.memoryFor(Purpose.CONTROL)));
         this.listener = listener;
         this.timeoutUs = timeoutUs;
         this.lastReceivedUs = loop.nowUs();
--- a/src/main/java/hopdrum/frontdoor/connection/ResourceBudget.java
+++ b/src/main/java/hopdrum/frontdoor/connection/ResourceBudget.java
@@ -1,18 +1,17 @@
 package hopdrum.frontdoor.connection;
 
-import hopdrum.frontdoor.wire.RingBuffer;
+import hopdrum.frontdoor.wire.BufferMemory;
 
 /** The limits on the file descriptors, memory and transfer time of all connections, and what is in use now. */
-public final class ResourceBudget implements RingBuffer.MemoryListener {
+public final class ResourceBudget {
     private static final int RESERVED_DESCRIPTORS = 32; // for files, discovery, the counter, UDP and the selector
     private static final int MIN_CONNECTIONS = 8;
     private final int maxClientConnections;
     private final int maxBackendConnections;
-    private final long maxBytes;
+    private final MemoryBudget memory;
     private final long transferTimeoutUs;
     private int clientConnections;
     private int backendConnections;
-    private long bufferBytes;
 
     /**
      * Creates a budget, which splits the descriptors between clients and backends.
@@ -26,7 +25,7 @@
         int connections = Math.max(MIN_CONNECTIONS, maxDescriptors - RESERVED_DESCRIPTORS);
         maxBackendConnections = connections / 3; // fewer, since a queued request holds only a client's connection
         maxClientConnections = connections - maxBackendConnections;
-        this.maxBytes = maxBytes;
+        memory = new MemoryBudget(maxBytes);
     }
 
     /** How long a client may take to send a message, in microseconds. */
@@ -36,12 +35,12 @@
 
     /** Whether the limits allow one more connection from a client. */
     public boolean hasRoomForClient() {
-        return clientConnections < maxClientConnections && bufferBytes < maxBytes;
+        return clientConnections < maxClientConnections && !memory.isExhausted();
     }
 
     /** Whether the limits allow one more connection to a backend. */
     public boolean hasRoomForBackend() {
-        return backendConnections < maxBackendConnections && bufferBytes < maxBytes;
+        return backendConnections < maxBackendConnections && !memory.isExhausted();
     }
 
     /** Counts a new connection from a client. */
@@ -74,8 +73,13 @@
         return backendConnections;
     }
 
-    @Override
-    public void memoryChanged(int deltaBytes) {
-        bufferBytes += deltaBytes;
+    /** The memory that the buffers of all connections may take together. */
+    public MemoryBudget memory() {
+        return memory;
+    }
+
+    /** Returns the source of memory for buffers with a purpose. */
+    public BufferMemory memoryFor(MemoryBudget.Purpose purpose) {
+        return memory.memoryFor(purpose);
     }
 }
--- a/src/main/java/hopdrum/frontdoor/lifecycle/StreamConnection.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/StreamConnection.java
@@ -1,5 +1,6 @@
 package hopdrum.frontdoor.lifecycle;
 
+import hopdrum.frontdoor.wire.BufferMemory;
 import hopdrum.frontdoor.wire.RingBuffer;
 import java.io.IOException;
 import java.net.SocketAddress;
@@ -22,7 +23,17 @@
         FAILURE
     }
 
+    /**
+     * The limits of one of a connection's buffers.
+     *
+     * @param maxBytes the most bytes that the buffer may hold
+     * @param memory grants the memory by which the buffer grows
+     */
+    public record BufferLimits(int maxBytes, BufferMemory memory) {}
+
     private static final int MAX_READ_BYTES = 16 << 10; // per event, so that one fast sender does not starve the others
+    // A receive buffer of this size grows only once its bytes have been handled, since they may tell how many follow.
+    private static final int HANDLE_BEFORE_GROWTH_BYTES = 4 << 10;
 
     /** The event loop on which the connection is handled. */
     protected final EventLoop loop;
@@ -37,25 +48,22 @@
     private boolean closed;
     private boolean failureScheduled; // a write has failed, and disconnected() is called after the current event
     private boolean inputEnded;
+    private boolean readingSuspended;
+    private int missingReceiveBytes; // for which reading waits until there is memory; 0 if it does not wait
+    private long lastProgressUs; // when bytes were last received or written
 
     /**
      * Takes over an accepted connection.
      *
      * @param loop the event loop on which the connection is handled
      * @param channel the connected channel
-     * @param maxInBytes the capacity of the receive buffer, in bytes
-     * @param maxOutBytes the capacity of the send buffer, in bytes
-     * @param memoryListener is notified of the memory that the buffers take
+     * @param inLimits the limits of the receive buffer
+     * @param outLimits the limits of the send buffer
      * @throws IOException if the channel cannot be set up; the channel is closed then
      */
-    protected StreamConnection(
-            EventLoop loop,
-            SocketChannel channel,
-            int maxInBytes,
-            int maxOutBytes,
-            RingBuffer.MemoryListener memoryListener)
+    protected StreamConnection(EventLoop loop, SocketChannel channel, BufferLimits inLimits, BufferLimits outLimits)
             throws IOException {
-        this(loop, channel, maxInBytes, maxOutBytes, memoryListener, true);
+        this(loop, channel, inLimits, outLimits, true);
     }
 
     /**
@@ -64,24 +72,17 @@
      *
      * @param loop the event loop on which the connection is handled
      * @param to the address to connect to
-     * @param maxInBytes the capacity of the receive buffer, in bytes
-     * @param maxOutBytes the capacity of the send buffer, in bytes
-     * @param memoryListener is notified of the memory that the buffers take
+     * @param inLimits the limits of the receive buffer
+     * @param outLimits the limits of the send buffer
      * @throws IOException if no socket can be opened, or if connecting fails at once
      */
-    protected StreamConnection(
-            EventLoop loop, SocketAddress to, int maxInBytes, int maxOutBytes, RingBuffer.MemoryListener memoryListener)
+    protected StreamConnection(EventLoop loop, SocketAddress to, BufferLimits inLimits, BufferLimits outLimits)
             throws IOException {
-        this(loop, open(to), maxInBytes, maxOutBytes, memoryListener, false);
+        this(loop, open(to), inLimits, outLimits, false);
     }
 
     private StreamConnection(
-            EventLoop loop,
-            SocketChannel channel,
-            int maxInBytes,
-            int maxOutBytes,
-            RingBuffer.MemoryListener memoryListener,
-            boolean accepted)
+            EventLoop loop, SocketChannel channel, BufferLimits inLimits, BufferLimits outLimits, boolean accepted)
             throws IOException {
         this.loop = loop;
         this.channel = channel;
@@ -94,8 +95,9 @@
             channel.close();
             throw e;
         }
-        in = new RingBuffer(maxInBytes, memoryListener);
-        out = new RingBuffer(maxOutBytes, memoryListener);
+        in = new RingBuffer(inLimits.maxBytes, inLimits.memory);
+        out = new RingBuffer(outLimits.maxBytes, outLimits.memory);
+        lastProgressUs = loop.nowUs();
     }
 
     private static SocketChannel open(SocketAddress to) throws IOException {
@@ -121,6 +123,73 @@
     /** Called when a connection that was being opened is established. */
     protected void connected() {}
 
+    /**
+     * Called when the receive buffer is filled and gets no memory to grow. Waits for memory, unless a subclass
+     * overrides it.
+     */
+    protected void receiveMemoryDenied() {
+        awaitReceiveMemory(1);
+    }
+
+    /**
+     * The memory that {@link #abandonTransfer} would free, in bytes: that of a buffer whose bytes wait for the other
+     * side to send or to read. 0 if there is none.
+     */
+    public int reclaimableBytes() {
+        return 0;
+    }
+
+    /** Gives up the transfer that waits for the other side, with the response that is owed, and frees its memory. */
+    public void abandonTransfer() {
+        close();
+    }
+
+    /** When bytes were last received or written, in microseconds of the event loop's clock. */
+    public final long lastProgressUs() {
+        return lastProgressUs;
+    }
+
+    /**
+     * Makes space for the bytes that are still missing, or stops reading until there is memory for them.
+     *
+     * @param missingBytes the least number of bytes to make space for
+     */
+    protected final void awaitReceiveMemory(int missingBytes) {
+        if (!in.reserve(missingBytes)) {
+            missingReceiveBytes = missingBytes;
+            suspendReading();
+        }
+    }
+
+    /** Whether reading has stopped until there is memory for the receive buffer. */
+    public final boolean isAwaitingMemory() {
+        return missingReceiveBytes > 0 && !closed;
+    }
+
+    /** Resumes reading if the memory that the connection waits for is granted now; returns false if it is not. */
+    public final boolean resumeIfMemoryGranted() {
+        if (!in.reserve(missingReceiveBytes)) {
+            return false;
+        }
+        resumeReading();
+        return true;
+    }
+
+    /** Stops reading, so that the other side has to wait, until {@link #resumeReading} is called. */
+    protected final void suspendReading() {
+        readingSuspended = true;
+        updateInterest();
+    }
+
+    /** Reads again after {@link #suspendReading}, once the receive buffer has space. */
+    protected final void resumeReading() {
+        missingReceiveBytes = 0;
+        if (readingSuspended) {
+            readingSuspended = false;
+            updateInterest();
+        }
+    }
+
     /** Called when a number of bytes has been written to the socket. */
     protected void bytesWritten(int count) {}
 
@@ -182,12 +251,25 @@
         }
     }
 
+    /** Writes and reads what the socket takes and has now, without waiting for the selector. */
+    public final void transferNow() {
+        flush();
+        if (!readingSuspended) {
+            readNow();
+        }
+    }
+
     private void read() throws IOException {
         boolean received = false;
         boolean endOfStream = false;
+        boolean memoryDenied = false;
         int sizeBefore = in.size();
         while (!in.isFull() && in.size() - sizeBefore < MAX_READ_BYTES) {
-            if (in.size() > 0 && in.contiguousSpace().remaining() == 0 && !in.reserve(1)) {
+            if (!in.hasSpace() && received && in.capacity() >= HANDLE_BEFORE_GROWTH_BYTES) {
+                break;
+            }
+            if (!in.hasSpace() && !in.reserve(1)) {
+                memoryDenied = true;
                 break;
             }
             ByteBuffer space = in.contiguousSpace();
@@ -203,8 +285,12 @@
             }
         }
         if (received) {
+            lastProgressUs = loop.nowUs();
             bytesReceived();
         }
+        if (memoryDenied && !closed && !in.hasSpace()) {
+            receiveMemoryDenied();
+        }
         if (endOfStream && !closed) {
             inputEnded = true;
             handleDisconnect(CloseCause.END_OF_STREAM);
@@ -237,6 +323,9 @@
             ByteBuffer content = out.contiguousContent();
             int count = channel.write(content);
             out.skip(count);
+            if (count > 0) {
+                lastProgressUs = loop.nowUs();
+            }
             bytesWritten(count);
             if (content.hasRemaining()) {
                 break;
@@ -255,7 +344,7 @@
      */
     protected final void updateInterest() {
         if (!closed && connected && key.isValid()) {
-            int ops = (in.isFull() || inputEnded ? 0 : SelectionKey.OP_READ)
+            int ops = (in.isFull() || inputEnded || readingSuspended ? 0 : SelectionKey.OP_READ)
                     | (out.isEmpty() ? 0 : SelectionKey.OP_WRITE);
             if (ops != key.interestOps()) {
                 key.interestOps(ops);
--- a/src/main/java/hopdrum/frontdoor/wire/HttpReader.java
+++ b/src/main/java/hopdrum/frontdoor/wire/HttpReader.java
@@ -172,6 +172,12 @@
         return bodyEnd;
     }
 
+    /** The least number of bytes that the buffer has to take for the message to become complete; at least 1. */
+    public int missingBytes(RingBuffer ring) {
+        long missing = state == State.FIXED_LENGTH ? head.headTo() + framing.length() - ring.size() : 1;
+        return (int) Math.max(1, missing);
+    }
+
     /** The length of the body in bytes, or -1 if the body is chunked or close-delimited. */
     long contentLength() {
         return state == State.FIXED_LENGTH ? framing.length() : -1;
--- a/src/main/java/hopdrum/frontdoor/wire/RingBuffer.java
+++ b/src/main/java/hopdrum/frontdoor/wire/RingBuffer.java
@@ -4,38 +4,30 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * A ring buffer for one direction of a connection. It starts small, grows by doubling up to its limit, and can shrink
- * again when it is empty. Positions are counted from the front, so appending bytes does not change them.
+ * A ring buffer for one direction of a connection. It starts small, grows up to its limit at least by doubling, and can
+ * shrink again when it is empty. Positions are counted from the front, so appending bytes does not change them.
  */
 public final class RingBuffer {
-    private static final int INITIAL_CAPACITY = 1 << 10;
+    /** The memory that each buffer takes until it first grows, and again once it has shrunk, in bytes. */
+    public static final int INITIAL_CAPACITY = 1 << 10;
+
     private final int maxBytes;
-    private final MemoryListener memoryListener;
-    private byte[] bytes; // the length is a power of two, so that positions wrap with a bit mask
+    private final BufferMemory memory;
+    private byte[] bytes;
     private int front;
     private int size;
 
-    /** Is notified of every change in the memory that ring buffers hold, so that their total can be limited. */
-    public interface MemoryListener {
-        /**
-         * Called when a ring buffer has allocated or released memory.
-         *
-         * @param deltaBytes the change in bytes; negative if memory has been released
-         */
-        void memoryChanged(int deltaBytes);
-    }
-
     /**
      * Creates an empty buffer.
      *
      * @param maxBytes the most bytes that the buffer may hold
-     * @param memoryListener is notified of the memory of this buffer, starting with its initial memory
+     * @param memory grants the memory of this buffer; the initial memory is taken in any case
      */
-    public RingBuffer(int maxBytes, MemoryListener memoryListener) {
+    public RingBuffer(int maxBytes, BufferMemory memory) {
         this.maxBytes = maxBytes;
-        this.memoryListener = memoryListener;
+        this.memory = memory;
         this.bytes = new byte[INITIAL_CAPACITY];
-        memoryListener.memoryChanged(INITIAL_CAPACITY);
+        memory.allocate(INITIAL_CAPACITY);
     }
 
     /** The number of bytes in the buffer. */
@@ -48,6 +40,16 @@
         return size == 0;
     }
 
+    /** The memory that the buffer takes, in bytes; more than {@link #INITIAL_CAPACITY} only while it has grown. */
+    public int capacity() {
+        return bytes.length;
+    }
+
+    /** Whether the buffer has space for another byte without growing. */
+    public boolean hasSpace() {
+        return size < bytes.length;
+    }
+
     /** Whether the buffer holds as many bytes as its limit allows. */
     public boolean isFull() {
         return size == maxBytes;
@@ -55,17 +57,18 @@
 
     /** Returns the byte at a position, which must be below the size. */
     public byte at(int position) {
-        return bytes[(front + position) & (bytes.length - 1)]; // arrayIndex() inlined, as this runs for every byte
+        return bytes[arrayIndex(position)];
     }
 
     private int arrayIndex(int position) {
-        return (front + position) & (bytes.length - 1);
+        int index = front + position;
+        return index < bytes.length ? index : index - bytes.length;
     }
 
     /**
      * Makes space for appending more bytes.
      *
-     * @return false if the buffer would exceed its limit; nothing changes then
+     * @return false if the buffer would exceed its limit, or if no memory is granted; nothing changes then
      */
     public boolean reserve(int additionalBytes) {
         if (size + additionalBytes <= bytes.length) {
@@ -74,20 +77,26 @@
         if (size + additionalBytes > maxBytes) {
             return false;
         }
-        resize(Integer.highestOneBit(size + additionalBytes - 1) << 1);
+        int neededCapacity = (size + additionalBytes + INITIAL_CAPACITY - 1) / INITIAL_CAPACITY * INITIAL_CAPACITY;
+        int capacity = Math.min(maxBytes, Math.max(neededCapacity, 2 * bytes.length));
+        if (!memory.tryAllocate(capacity - bytes.length)) {
+            return false;
+        }
+        resize(capacity);
         return true;
     }
 
     /** Releases memory if the buffer is empty; its owner calls this method when the connection becomes idle. */
     public void shrink() {
         if (size == 0 && bytes.length > INITIAL_CAPACITY) {
+            memory.release(bytes.length - INITIAL_CAPACITY);
             resize(INITIAL_CAPACITY);
         }
     }
 
     /** Releases all memory when the owner's connection closes; the buffer must not be used afterwards. */
     public void free() {
-        memoryListener.memoryChanged(-bytes.length);
+        memory.release(bytes.length);
         bytes = new byte[1];
         size = 0;
         front = 0;
@@ -96,7 +105,6 @@
     private void resize(int capacity) {
         byte[] resized = new byte[capacity];
         copyOut(0, size, resized, 0);
-        memoryListener.memoryChanged(capacity - bytes.length);
         bytes = resized;
         front = 0;
     }
--- a/src/test/java/hopdrum/frontdoor/FrontDoorFixture.java
+++ b/src/test/java/hopdrum/frontdoor/FrontDoorFixture.java
@@ -240,6 +240,11 @@
         });
     }
 
+    /** The address on which the front door serves clients. */
+    SocketAddress frontDoorAddress() throws IOException {
+        return frontDoor.address();
+    }
+
     /** Registers a resource to be closed when the test ends. */
     <T extends AutoCloseable> T closeAtEnd(T resource) {
         resources.add(resource);
@@ -262,7 +267,7 @@
 
         Client() throws IOException {
             socket = new Socket();
-            socket.connect(frontDoor.address());
+            socket.connect(frontDoorAddress());
             socket.setSoTimeout(10_000);
         }
 
--- a/src/test/java/hopdrum/frontdoor/wire/RingBufferTest.java
+++ b/src/test/java/hopdrum/frontdoor/wire/RingBufferTest.java
@@ -8,8 +8,8 @@
 class RingBufferTest {
     @Test
     void bufferWrapsGrowsAndShrinksWithoutLosingAByte() {
-        long[] heldBytes = {0};
-        RingBuffer ring = new RingBuffer(4096, deltaBytes -> heldBytes[0] += deltaBytes);
+        CountingMemory memory = new CountingMemory(Long.MAX_VALUE);
+        RingBuffer ring = new RingBuffer(4096, memory);
         StringBuilder written = new StringBuilder();
         StringBuilder read = new StringBuilder();
         for (int i = 0; i < 200; i++) {
@@ -23,13 +23,54 @@
                 read.append(WireFixture.allText(ring));
                 ring.skip(ring.size());
                 ring.shrink();
-                assertThat(heldBytes[0]).isEqualTo(1024);
+                assertThat(memory.heldBytes).isEqualTo(1024);
             }
         }
         read.append(WireFixture.allText(ring));
         assertThat(read.toString()).isEqualTo(written.toString());
         assertThat(ring.reserve(4097 - ring.size())).isFalse();
         ring.free();
-        assertThat(heldBytes[0]).isZero();
+        assertThat(memory.heldBytes).isZero();
+    }
+
+    @Test
+    void aBufferWhoseGrowthIsDeniedStaysAsItIsAndGrowsOnceItIsGranted() {
+        CountingMemory memory = new CountingMemory(2048);
+        RingBuffer ring = new RingBuffer(4096, memory);
+        WireFixture.put(ring, "x".repeat(2000));
+        assertThat(ring.reserve(49)).isFalse();
+        assertThat(ring.capacity()).isEqualTo(2048);
+        assertThat(memory.heldBytes).isEqualTo(2048);
+        memory.limitBytes = 4096;
+        WireFixture.put(ring, "y".repeat(49));
+        assertThat(WireFixture.allText(ring)).isEqualTo("x".repeat(2000) + "y".repeat(49));
+        assertThat(memory.heldBytes).isEqualTo(4096);
+    }
+
+    /** Counts the memory that a buffer holds, and denies more than a limit. */
+    private static final class CountingMemory implements BufferMemory {
+        private long limitBytes;
+        private long heldBytes;
+
+        CountingMemory(long limitBytes) {
+            this.limitBytes = limitBytes;
+        }
+
+        @Override
+        public boolean tryAllocate(int bytes) {
+            boolean granted = heldBytes + bytes <= limitBytes;
+            heldBytes += granted ? bytes : 0;
+            return granted;
+        }
+
+        @Override
+        public void allocate(int bytes) {
+            heldBytes += bytes;
+        }
+
+        @Override
+        public void release(int bytes) {
+            heldBytes -= bytes;
+        }
     }
 }
--- a/src/test/java/hopdrum/frontdoor/wire/WireFixture.java
+++ b/src/test/java/hopdrum/frontdoor/wire/WireFixture.java
@@ -17,7 +17,7 @@
     private WireFixture() {}
 
     static RingBuffer ring() {
-        return new RingBuffer(128 << 10, deltaBytes -> {});
+        return new RingBuffer(128 << 10, BufferMemory.UNLIMITED);
     }
 
     static void put(RingBuffer ring, String text) {
