The length of a list from discovery is limited by the heap

What callers saw (BufferMemoryIT on the commit before): a complete list of 45,000 backends, 7.6 MB, ended the process with OutOfMemoryError, and all clients lost their connections.

Change: a message may take 1/32 of the heap, 8 MiB at most; a longer one is refused as before, and the last list stays in force. The array is released after a long message.

Measured: the new test fails before ("Terminating due to java.lang.OutOfMemoryError") and passes now; it first has a list of 10,000 backends accepted.

--- a/src/main/java/hopdrum/frontdoor/DiscoveryClient.java
+++ b/src/main/java/hopdrum/frontdoor/DiscoveryClient.java
@@ -21,6 +21,10 @@
 final class DiscoveryClient {
     private static final Log LOG = new Log("discovery");
     private static final int MAX_BUFFER_BYTES = 64 << 10;
+    // A list takes up to some thirty times its length on the heap while it is parsed and applied.
+    private static final long MAX_LIST_HEAP_DIVISOR = 32;
+    private static final int MAX_LIST_BYTES =
+            (int) Math.min(8 << 20, Runtime.getRuntime().maxMemory() / MAX_LIST_HEAP_DIVISOR);
     // A change that a silent watch misses counts as notified 6 s later. Detecting the silence and trying two further
     // watches that stay silent too must take less than that.
     private static final long SILENCE_LIMIT_US = 3_000_000; // discovery sends an empty line every 2 s
@@ -216,7 +220,7 @@
                     new BufferLimits(MAX_BUFFER_BYTES, budget.memoryFor(MemoryBudget.Purpose.CONTROL)),
                     new BufferLimits(MAX_BUFFER_BYTES, budget.memoryFor(MemoryBudget.Purpose.CONTROL)));
             this.isWatch = isWatch;
-            this.reader = new EndpointListReader(line -> lineReceived(line, this));
+            this.reader = new EndpointListReader(MAX_LIST_BYTES, line -> lineReceived(line, this));
             EndpointListReader.writeRequest(
                     isWatch, version, address.getAddress().getHostAddress() + ":" + address.getPort(), out);
             flush();
--- a/src/main/java/hopdrum/frontdoor/wire/EndpointListReader.java
+++ b/src/main/java/hopdrum/frontdoor/wire/EndpointListReader.java
@@ -11,10 +11,11 @@
  * or several if it is indented.
  */
 public final class EndpointListReader {
-    private static final int MAX_MESSAGE_BYTES = 8 << 20;
     private static final int INITIAL_BYTES = 1024;
+    private static final int MAX_RETAINED_BYTES = 64 << 10; // of the memory for messages, between two of them
     private static final int MAX_REQUEST_BYTES = 256;
 
+    private final int maxMessageBytes;
     private final HttpReader httpReader = new HttpReader(HttpReader.Kind.RESPONSE);
     private final Consumer<String> listener;
     private ChunkedDecoder chunkedDecoder; // null if the body is not chunked
@@ -31,9 +32,11 @@
     /**
      * Creates a reader for one response.
      *
+     * @param maxMessageBytes the length of the longest message that is accepted, in bytes
      * @param listener receives each message once it is complete; an empty message means that nothing has changed
      */
-    public EndpointListReader(Consumer<String> listener) {
+    public EndpointListReader(int maxMessageBytes, Consumer<String> listener) {
+        this.maxMessageBytes = maxMessageBytes;
         this.listener = listener;
     }
 
@@ -57,7 +60,7 @@
      *
      * @return true once the response is complete
      * @throws MalformedMessageException if the response is malformed or has a status other than 200, or if a message is
-     *     longer than 8 MiB
+     *     too long
      */
     public boolean read(RingBuffer ring) throws MalformedMessageException {
         if (!inBody) {
@@ -107,12 +110,12 @@
     }
 
     private void append(byte next) throws MalformedMessageException {
-        if (messageBytes == MAX_MESSAGE_BYTES) {
+        if (messageBytes == maxMessageBytes) {
             throw new MalformedMessageException(
-                    413, "a message from discovery is longer than " + MAX_MESSAGE_BYTES + " bytes");
+                    413, "a message from discovery is longer than " + maxMessageBytes + " bytes");
         }
         if (messageBytes == message.length) {
-            message = Arrays.copyOf(message, 2 * messageBytes);
+            message = Arrays.copyOf(message, Math.min(maxMessageBytes, 2 * messageBytes));
         }
         message[messageBytes++] = next;
     }
@@ -147,6 +150,9 @@
     private void emitMessage(int to) {
         String text = new String(message, 0, to, StandardCharsets.UTF_8).strip();
         messageBytes = 0;
+        if (message.length > MAX_RETAINED_BYTES) {
+            message = new byte[INITIAL_BYTES];
+        }
         lineFrom = 0;
         openBrackets = 0;
         inString = false;
--- a/src/test/java/hopdrum/frontdoor/BufferMemoryIT.java
+++ b/src/test/java/hopdrum/frontdoor/BufferMemoryIT.java
@@ -180,4 +180,28 @@
         Thread.sleep(4000);
         assertUsualClientsWereServed();
     }
+
+    /** A list of discovery that does not fit into the heap once it is parsed ended the process. */
+    @Test
+    void aListOfFarTooManyBackendsLeavesTheLastOneInForce() throws Exception {
+        AtomicInteger watches = new AtomicInteger();
+        discovery.responder = request -> WATCH_HEAD + chunk(listOf(watches.getAndIncrement() == 0 ? 10_000 : 45_000));
+        discovery.afterResponse = AfterResponse.CLOSE; // so that the watch is opened again, and gets the longer list
+        startProcess(hostJson("b", backend.address(), "in_service"));
+        startUsualClients();
+        Thread.sleep(4000);
+        assertThat(watches.get())
+                .as("lists that discovery has sent; " + process.log())
+                .isGreaterThan(1);
+        assertThat(process.log()).contains("a message from discovery is longer than ");
+        assertUsualClientsWereServed();
+    }
+
+    private String listOf(int backends) {
+        StringBuilder list = new StringBuilder("{\"seq\":42,\"whole\":true,\"hosts\":[");
+        for (int i = 0; i < backends; i++) {
+            list.append(i == 0 ? "" : ",").append(hostJson("b" + i, backend.address(), "in_service"));
+        }
+        return list.append("]}\n").toString();
+    }
 }
--- a/src/test/java/hopdrum/frontdoor/wire/EndpointListReaderTest.java
+++ b/src/test/java/hopdrum/frontdoor/wire/EndpointListReaderTest.java
@@ -20,7 +20,7 @@
                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{\"se\r\n5\r\nq\":1}\r\n2\r\n\n\n\r\n8\r\n{\"q\":2}\n\r\n";
         for (int splitAt = 0; splitAt <= watch.length(); splitAt++) {
             List<String> messages = new ArrayList<>();
-            EndpointListReader reader = new EndpointListReader(messages::add);
+            EndpointListReader reader = new EndpointListReader(8 << 20, messages::add);
             RingBuffer splitRing = WireFixture.ring();
             WireFixture.put(splitRing, watch.substring(0, splitAt));
             reader.read(splitRing);
@@ -30,7 +30,7 @@
         }
         List<String> messages = new ArrayList<>();
         WireFixture.put(ring, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n[12]");
-        assertThat(new EndpointListReader(messages::add).read(ring)).isTrue();
+        assertThat(new EndpointListReader(8 << 20, messages::add).read(ring)).isTrue();
         assertThat(messages).containsExactly("[12]");
     }
 
@@ -41,7 +41,7 @@
                 ring,
                 "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\n  \"seq\": 1,\n  \"hosts\": [\n    {\"host\": \"}\\\"{\"}\n  ]\n}\n\n"
                         + "{\"seq\":2,\"hosts\":[\n\n{\"seq\":3,\"ho\n{\"seq\":4}\n");
-        new EndpointListReader(messages::add).read(ring);
+        new EndpointListReader(8 << 20, messages::add).read(ring);
         assertThat(messages).hasSize(6);
         assertThat(JsonReader.parse(messages.get(0)))
                 .isEqualTo(Map.of("seq", 1.0, "hosts", List.of(Map.of("host", "}\"{"))));
