At most 4096 calls are pending on a connection to the counter

What callers would see: nothing at first.

CounterConnection.pendingCalls grows after the connection is open, and only replacing a silent connection clears it.

Change: a call beyond 4096 pending ones is not made and ends as CONNECT_FAILED, which says that nothing was added.

Measured: the new test made 6001 calls in one event; before, 6001 were pending, now no more than 4096.

--- a/src/main/java/hopdrum/frontdoor/connection/CounterConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/CounterConnection.java
@@ -35,6 +35,8 @@
     }
 
     private static final int MAX_BUFFER_BYTES = 64 << 10;
+    // A counter that answers slowly but steadily may be sent calls faster than it answers them, and never stalls.
+    private static final int MAX_PENDING_CALLS = 4096;
     // Without a byte in the middle of a response, which has about a hundred bytes.
     private static final long STALL_TIMEOUT_US = 5_000;
 
@@ -92,10 +94,13 @@
      * @param name the name
      * @param amount the amount to add
      * @param timeToLiveMs how long the counter keeps the name, in milliseconds
-     * @return false if the send buffer has no room for the call, which is not made then
+     * @return false if too many calls are pending or the send buffer has no room for the call, which is not made then
      */
     public boolean sendCall(long name, double amount, long timeToLiveMs) {
         int sizeBefore = out.size();
+        if (pendingCalls.size() == MAX_PENDING_CALLS) {
+            return false;
+        }
         if (!CounterProtocol.writeRequest(name, amount, timeToLiveMs, out)) {
             return false;
         }
--- a/src/test/java/hopdrum/frontdoor/CounterOverSocketsTest.java
+++ b/src/test/java/hopdrum/frontdoor/CounterOverSocketsTest.java
@@ -4,6 +4,7 @@
 
 import hopdrum.frontdoor.connection.ResourceBudget;
 import hopdrum.frontdoor.lifecycle.EventLoop;
+import hopdrum.host.Outcome;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -113,4 +114,41 @@
         assertThat(counter.closedConnections.poll(10, TimeUnit.SECONDS)).isEqualTo(1);
         loop.execute(loop::stop);
     }
+
+    /** Guards against calls that pile up without limit where the counter answers slowly but never falls silent. */
+    @Test
+    void callsBeyondTheMostThatMayBePendingAreNotMade() throws Exception {
+        int calls = 6_000;
+        loop = new EventLoop();
+        BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
+        CounterClient counterClient = new CounterClient(
+                loop,
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), counter.listener.getLocalPort()),
+                60_000_000,
+                new ResourceBudget(1024, 1 << 20, 50_000),
+                (name, outcome, total, tookUs) -> outcomes.add(outcome));
+        CompletableFuture<Void> released = new CompletableFuture<>();
+        counter.responder = request -> {
+            released.join();
+            return okResponse("1");
+        };
+        runInBackground(loop::run);
+        loop.execute(() -> counterClient.add(1, 1, 1000));
+        assertThat(counter.nextRequest()).isNotNull();
+        loop.execute(
+                () -> { // in one event, so that no stall is noticed meanwhile
+                    for (int i = 0; i < calls; i++) {
+                        counterClient.add(1, 1, 1000);
+                    }
+                });
+        loop.execute(() -> released.complete(null));
+        int answered = 0;
+        for (int i = 0; i <= calls; i++) {
+            Outcome outcome = outcomes.poll(10, TimeUnit.SECONDS);
+            assertThat(outcome).isIn(Outcome.OK, Outcome.CONNECT_FAILED);
+            answered += outcome == Outcome.OK ? 1 : 0;
+        }
+        assertThat(answered).isBetween(1, 4096);
+        loop.execute(loop::stop);
+    }
 }
