--- a/src/main/java/hopdrum/frontdoor/ClientListener.java
+++ b/src/main/java/hopdrum/frontdoor/ClientListener.java
@@ -24,6 +24,7 @@
     private static final long ACCEPT_PAUSE_US = 50_000;
     private static final long MIN_IDLE_BEFORE_EVICTION_US = 250_000;
     private static final long MIN_SILENT_BEFORE_EVICTION_US = 50_000;
+    private static final long MIN_STALL_BEFORE_EVICTION_US = 200_000; // in the middle of a request
     // Bounds how long a burst of new clients delays the requests in flight.
     private static final int MAX_ACCEPTS_PER_EVENT = 32;
 
@@ -120,7 +121,8 @@
 
     /**
      * Closes one connection that has no request in flight: preferably one that lingers after its last response, else
-     * one on which no byte has arrived yet, else an idle one. No request that a client has just sent may be lost, so a
+     * one on which no byte has arrived yet, else an idle one. If there is none, rejects the incomplete requests whose
+     * clients have stopped sending, so that their connections linger and can be closed soon. No request that a client has just sent may be lost, so a
      * connection with bytes to read does not count as idle, and a connection that was accepted or sent a response only
      * recently is kept because its client may be about to send.
      */
@@ -128,8 +130,21 @@
         if (!lingeringClients.isEmpty()
                 && loop.nowUs() - lingeringClients.iterator().next().idleSinceUs() >= MIN_SILENT_BEFORE_EVICTION_US) {
             lingeringClients.iterator().next().close();
-        } else if (!evictLongestIdle(silentClients, MIN_SILENT_BEFORE_EVICTION_US)) {
-            evictLongestIdle(idleClients, MIN_IDLE_BEFORE_EVICTION_US);
+        } else if (!evictLongestIdle(silentClients, MIN_SILENT_BEFORE_EVICTION_US)
+                && !evictLongestIdle(idleClients, MIN_IDLE_BEFORE_EVICTION_US)) {
+            rejectStalledRequests();
+        }
+    }
+
+    private void rejectStalledRequests() {
+        long stalledBeforeUs = loop.nowUs() - MIN_STALL_BEFORE_EVICTION_US;
+        for (ClientConnection client : new ArrayList<>(openClients)) {
+            if (client.isStalledInRequest(stalledBeforeUs)) {
+                client.transferNow(); // this loop may have been late rather than the client
+                if (client.isStalledInRequest(stalledBeforeUs)) {
+                    client.abandonTransfer();
+                }
+            }
         }
     }
 
--- a/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
@@ -213,11 +213,19 @@
      */
     @Override
     public int reclaimableBytes() {
-        boolean awaitsRestOfMessage = request == null && !closing && !in.isEmpty();
-        int bytes = (awaitsRestOfMessage ? grownBytes(in) : 0) + (out.isEmpty() ? 0 : grownBytes(out));
+        int bytes = (awaitsRestOfMessage() ? grownBytes(in) : 0) + (out.isEmpty() ? 0 : grownBytes(out));
         return isClosed() ? 0 : bytes;
     }
 
+    private boolean awaitsRestOfMessage() {
+        return request == null && !closing && !in.isEmpty() && !isClosed();
+    }
+
+    /** Whether the rest of a request is awaited and nothing has arrived since a time of the event loop's clock. */
+    public boolean isStalledInRequest(long sinceUs) {
+        return awaitsRestOfMessage() && lastProgressUs() < sinceUs;
+    }
+
     private static int grownBytes(RingBuffer buffer) {
         return buffer.capacity() - RingBuffer.INITIAL_CAPACITY;
     }
@@ -226,10 +234,10 @@
     @Override
     public void abandonTransfer() {
         if (!out.isEmpty()) {
-            LOG.warning("disconnecting a client that does not read, to free buffer memory", null);
+            LOG.warning("disconnecting a client that does not read, to make room for others", null);
             close();
         } else {
-            LOG.warning("rejecting an incomplete request to free buffer memory", null);
+            LOG.warning("rejecting an incomplete request to make room for others", null);
             cancelTimeout();
             respond(503, 0, true); // the request has not been forwarded, so repeating it is harmless
         }
--- a/src/test/java/hopdrum/frontdoor/ClientLimitsTest.java
+++ b/src/test/java/hopdrum/frontdoor/ClientLimitsTest.java
@@ -74,6 +74,27 @@
         assertThat(System.nanoTime() - startNanos).isLessThan(3_000_000_000L);
     }
 
+    /** Guards against usual requests that wait in the kernel while half-written requests hold all descriptors. */
+    @Test
+    void halfWrittenRequestsGiveWayToARequestOnceTheirClientsStall() throws Exception {
+        sockets = 32 + 9; // leaves six sockets for clients
+        start();
+        List<Client> stalled = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            stalled.add(new Client().send("POST /api HTTP/1.1\r\nX-Trace"));
+        }
+        long startNanos = System.nanoTime();
+        assertThat(exchange(request("t1", "order", ""))).endsWith("for t1");
+        assertThat(System.nanoTime() - startNanos).as("the method's objective").isLessThan(2_000_000_000L);
+        for (Client client : stalled) {
+            assertThat(client.receive())
+                    .satisfiesAnyOf(
+                            response -> assertThat(response).isNull(),
+                            response -> assertThat(response).matches("(?s)HTTP/1.1 (408|503) .*"));
+        }
+        assertThat(System.nanoTime() - startNanos).isLessThan(3_000_000_000L);
+    }
+
     @Test
     void aSenderOfAnOversizedBodyIsDisconnected() throws Exception {
         start();
