The test of a late second copy has no quotas, so that a slow counter rejects nothing

Traced: the counter's stand-in was later than the front door's time-out, so the bucket decided and rejected.

--- a/src/test/java/hopdrum/frontdoor/BackendResponseOverSocketsTest.java
+++ b/src/test/java/hopdrum/frontdoor/BackendResponseOverSocketsTest.java
@@ -138,6 +138,7 @@
      */
     @Test
     void aSecondCopyThatComesSomeMillisecondsLateReachesNoOtherClient() throws Exception {
+        changeSetting("\"PerSecond\":1.0", "\"PerSecond\":0.0"); // no quotas, so that a slow counter rejects nothing
         start();
         int judgedRounds = 0;
         for (int round = 0; round < 200 && judgedRounds < 10; round++) {
