--- a/src/main/java/hopdrum/frontdoor/AttemptDispatcher.java
+++ b/src/main/java/hopdrum/frontdoor/AttemptDispatcher.java
@@ -53,6 +53,7 @@
         attempt.armTimeout(loop, () -> attemptTimedOut(attempt));
         ConnectionPool pool = directory.get(backendId);
         if (request.client() == null || pool == null) {
+            tally.attemptNotSent();
             loop.runAfterCurrentEvent(() -> attemptEnded(attempt, Outcome.INVALID_REQUEST, NO_LOAD_REPORT));
             return;
         }
@@ -123,6 +124,10 @@
             return;
         }
         InFlightRequest request = attempt.request();
+        tally.attemptEnded(attempt.number(), outcome);
+        if (outcome != Outcome.OK) {
+            LOG.info("an attempt ended with outcome " + outcome, request.describe(loop.nowUs()));
+        }
         request.handle()
                 .attemptEnded(
                         attempt.number(),
--- a/src/main/java/hopdrum/frontdoor/ClientListener.java
+++ b/src/main/java/hopdrum/frontdoor/ClientListener.java
@@ -1,6 +1,8 @@
 package hopdrum.frontdoor;
 
+import hopdrum.frontdoor.connection.ClientCloseReason;
 import hopdrum.frontdoor.connection.ClientConnection;
+import hopdrum.frontdoor.connection.ClientConnectionListener;
 import hopdrum.frontdoor.connection.ResourceBudget;
 import hopdrum.frontdoor.lifecycle.EventLoop;
 import hopdrum.frontdoor.lifecycle.Log;
@@ -18,7 +20,7 @@
 import java.util.Set;
 
 /** Accepts client connections on the listening socket and keeps track of them until they close. */
-final class ClientListener implements EventLoop.ChannelHandler, ClientConnection.Listener {
+final class ClientListener implements EventLoop.ChannelHandler, ClientConnectionListener {
     private static final Log LOG = new Log("clients");
     private static final int BACKLOG = 1024;
     private static final long ACCEPT_PAUSE_US = 50_000;
@@ -40,6 +42,9 @@
         /** Called when a client has disconnected while its request was in flight. */
         void clientDisconnected(ClientConnection client);
 
+        /** Called when a client's connection has been closed. */
+        void connectionClosed(ClientCloseReason reason);
+
         /** Whether the front door can handle requests, as reported by the readiness endpoint. */
         boolean isReady();
     }
@@ -129,7 +134,7 @@
     private void evictClient() {
         if (!lingeringClients.isEmpty()
                 && loop.nowUs() - lingeringClients.iterator().next().idleSinceUs() >= MIN_SILENT_BEFORE_EVICTION_US) {
-            lingeringClients.iterator().next().close();
+            lingeringClients.iterator().next().close(ClientCloseReason.EVICTED);
         } else if (!evictLongestIdle(silentClients, MIN_SILENT_BEFORE_EVICTION_US)
                 && !evictLongestIdle(idleClients, MIN_IDLE_BEFORE_EVICTION_US)) {
             rejectStalledRequests();
@@ -167,7 +172,7 @@
         client.readNow();
         boolean isIdle = client.isIdle();
         if (isIdle) {
-            client.close();
+            client.close(ClientCloseReason.EVICTED);
         }
         return isIdle;
     }
@@ -238,7 +243,8 @@
     }
 
     @Override
-    public void connectionClosed(ClientConnection client) {
+    public void connectionClosed(ClientConnection client, ClientCloseReason reason) {
+        requests.connectionClosed(reason);
         budget.clientClosed();
         idleClients.remove(client);
         silentClients.remove(client);
--- a/src/main/java/hopdrum/frontdoor/RequestHandler.java
+++ b/src/main/java/hopdrum/frontdoor/RequestHandler.java
@@ -1,10 +1,12 @@
 package hopdrum.frontdoor;
 
+import hopdrum.frontdoor.connection.ClientCloseReason;
 import hopdrum.frontdoor.connection.ClientConnection;
 import hopdrum.frontdoor.connection.InFlightRequest;
 import hopdrum.frontdoor.connection.InFlightRequests;
 import hopdrum.frontdoor.lifecycle.Config;
 import hopdrum.frontdoor.lifecycle.EventLoop;
+import hopdrum.frontdoor.lifecycle.Log;
 import hopdrum.frontdoor.wire.MalformedMessageException;
 import hopdrum.frontdoor.wire.RequestForwarder;
 import hopdrum.frontdoor.wire.RequestHead;
@@ -12,6 +14,8 @@
 
 /** Passes client requests on to Policy and notifies Policy of clients that disconnect. */
 final class RequestHandler implements ClientListener.RequestListener {
+    private static final Log LOG = new Log("clients");
+
     private final EventLoop loop;
     private final Policy policy;
     private final InFlightRequests requests;
@@ -53,6 +57,7 @@
         InFlightRequest request = requests.add(
                 client,
                 head.traceId,
+                loop.nowUs(),
                 loop.nowUs() + remainingUs,
                 hasPartners && RequestForwarder.isForwarded(client.receiveBuffer(), client.message()));
         if (request == null) {
@@ -73,9 +78,15 @@
         requests.removeIfDone(request);
     }
 
+    @Override
+    public void connectionClosed(ClientCloseReason reason) {
+        tally.clientConnectionClosed(reason);
+    }
+
     @Override
     public void clientDisconnected(ClientConnection client) {
         InFlightRequest request = client.request();
+        LOG.info("a client left before its response", request.describe(loop.nowUs()));
         request.detachClient();
         tally.clientDisconnected();
         if (request.handle() == null) {
--- a/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
@@ -13,48 +13,13 @@
 
 /** A connection from a client. Messages are handled one at a time, each after the response to the one before. */
 public final class ClientConnection extends StreamConnection {
-    /** Is notified of the connection's messages, of changes of its state, and of its closing. */
-    public interface Listener {
-        /**
-         * Called when a complete message is at the front of the receive buffer.
-         *
-         * @param client the connection
-         * @throws MalformedMessageException if the message is rejected; the exception's status is sent as the response
-         */
-        void messageReceived(ClientConnection client) throws MalformedMessageException;
-
-        /** Called when all received messages are handled and no request is in flight on the connection. */
-        void connectionIdle(ClientConnection client);
-
-        /** Called when the connection is no longer idle. */
-        void connectionBusy(ClientConnection client);
-
-        /** Called when the outgoing stream has ended and the connection waits for the client to close it. */
-        void connectionLingering(ClientConnection client);
-
-        /**
-         * Called when the connection has been closed with a request in flight on it; before {@link #connectionClosed}.
-         */
-        void clientDisconnected(ClientConnection client);
-
-        /** Called when the connection has been closed. */
-        void connectionClosed(ClientConnection client);
-
-        /**
-         * Whether the connection is to be closed after the next response.
-         *
-         * @param moreReceived whether bytes of a further message have arrived behind the one that gets the response
-         */
-        boolean closesAfterResponse(boolean moreReceived);
-    }
-
     private static final Log LOG = new Log("clients");
     private static final int MAX_MESSAGE_BYTES = 128 << 10;
     private static final long READ_RESPONSE_TIMEOUT_US = 10_000_000; // enough for a client to read a long response
     private static final long LINGER_US = 1_000_000; // after the last response, which may reach the client late
     private static final long IDLE_LINGER_US = 200_000; // enough for a message that was sent before the close
     private static final long FIRST_MESSAGE_TIMEOUT_US = 2_000_000;
-    private final Listener listener;
+    private final ClientConnectionListener listener;
     private final long messageTimeoutUs;
     private final HttpReader reader = new HttpReader(HttpReader.Kind.REQUEST);
     private InFlightRequest request; // null while no request is in flight on this connection
@@ -64,6 +29,7 @@
     private long idleSinceUs;
     private int discardedBytes; // bytes that arrived after the last response
     private boolean closing; // whether the last response is buffered or written, or the connection lingers
+    private ClientCloseReason closeReason = ClientCloseReason.SHUTDOWN;
 
     /**
      * Takes over an accepted connection.
@@ -74,7 +40,8 @@
      * @param listener is notified of the connection's events
      * @throws IOException if the connection has already ended
      */
-    public ClientConnection(EventLoop loop, SocketChannel channel, ResourceBudget budget, Listener listener)
+    public ClientConnection(
+            EventLoop loop, SocketChannel channel, ResourceBudget budget, ClientConnectionListener listener)
             throws IOException {
         super(
                 loop,
@@ -124,7 +91,7 @@
             in.skip(in.size());
             in.shrink();
             if (discardedBytes > MAX_MESSAGE_BYTES) {
-                close(); // the client keeps sending at full speed although the connection is closing
+                close(ClientCloseReason.SENT_AFTER_LAST_RESPONSE);
             }
             return;
         }
@@ -200,7 +167,7 @@
     private void transferTimedOut() {
         LOG.info("disconnecting a client that sends or reads too slowly", null);
         if (closing || !out.isEmpty() || request != null) {
-            close();
+            close(ClientCloseReason.TOO_SLOW);
         } else {
             timeout = null;
             respond(408, 0, true);
@@ -235,7 +202,7 @@
     public void abandonTransfer() {
         if (!out.isEmpty()) {
             LOG.warning("disconnecting a client that does not read, to make room for others", null);
-            close();
+            close(ClientCloseReason.TOO_SLOW);
         } else {
             LOG.warning("rejecting an incomplete request to make room for others", null);
             cancelTimeout();
@@ -285,7 +252,7 @@
             LOG.warning("a response was dropped for lack of buffer memory", null);
             respond(500, 0, false);
         } else {
-            close();
+            close(ClientCloseReason.NO_RESPONSE_BUFFER);
         }
     }
 
@@ -300,7 +267,7 @@
         boolean lastResponse =
                 close || !reader.keepAlive() || listener.closesAfterResponse(in.size() > reader.messageTo());
         if (!HttpWriter.writeEmptyResponse(status, retryAfterUs, lastResponse, out)) {
-            loop.runAfterCurrentEvent(this::close);
+            loop.runAfterCurrentEvent(() -> close(ClientCloseReason.NO_RESPONSE_BUFFER));
             return;
         }
         responseBuffered(lastResponse);
@@ -365,7 +332,7 @@
         endSending();
         if (!isClosed()) {
             idleSinceUs = loop.nowUs();
-            timeout = loop.scheduleAfter(maxLingerUs, this::close);
+            timeout = loop.scheduleAfter(maxLingerUs, () -> close(ClientCloseReason.LINGER_ENDED));
             listener.connectionLingering(this);
         }
     }
@@ -379,7 +346,14 @@
 
     @Override
     protected void disconnected(CloseCause cause) {
-        // Nothing to do here: connectionClosed() notifies the listener, however the connection ends.
+        // connectionClosed() notifies the listener, however the connection ends.
+        closeReason = cause == CloseCause.END_OF_STREAM ? ClientCloseReason.CLIENT_CLOSED : ClientCloseReason.FAILED;
+    }
+
+    /** Closes the connection; no effect if it is already closed. */
+    public void close(ClientCloseReason reason) {
+        closeReason = isClosed() ? closeReason : reason;
+        close();
     }
 
     @Override
@@ -388,6 +362,6 @@
         if (request != null) {
             listener.clientDisconnected(this);
         }
-        listener.connectionClosed(this);
+        listener.connectionClosed(this, closeReason);
     }
 }
--- a/src/main/java/hopdrum/frontdoor/connection/InFlightRequest.java
+++ b/src/main/java/hopdrum/frontdoor/connection/InFlightRequest.java
@@ -10,16 +10,24 @@
 public final class InFlightRequest {
     private final long id;
     private final String traceId;
+    private final long receivedAtUs;
     private final long expiresAtUs;
     private final boolean forwardedByPartner;
     private final List<Attempt> attempts = new ArrayList<>(1);
     private ClientConnection client; // null once the client has a response or has disconnected
     private Request handle; // null until Policy has received the request
 
-    InFlightRequest(long id, String traceId, ClientConnection client, long expiresAtUs, boolean forwardedByPartner) {
+    InFlightRequest(
+            long id,
+            String traceId,
+            ClientConnection client,
+            long receivedAtUs,
+            long expiresAtUs,
+            boolean forwardedByPartner) {
         this.id = id;
         this.traceId = traceId;
         this.client = client;
+        this.receivedAtUs = receivedAtUs;
         this.expiresAtUs = expiresAtUs;
         this.forwardedByPartner = forwardedByPartner;
     }
@@ -33,6 +41,16 @@
         return traceId;
     }
 
+    /**
+     * Describes the request for a line of the log.
+     *
+     * @param nowUs the time, in microseconds of the event loop's clock
+     */
+    public String describe(long nowUs) {
+        return "X-Trace-Id " + traceId + ", " + (nowUs - receivedAtUs) / 1000 + " ms after it was received, "
+                + attempts.size() + " attempts";
+    }
+
     /** When the client stops waiting for the response, in microseconds of the event loop's clock. */
     public long expiresAtUs() {
         return expiresAtUs;
--- a/src/main/java/hopdrum/frontdoor/connection/InFlightRequests.java
+++ b/src/main/java/hopdrum/frontdoor/connection/InFlightRequests.java
@@ -17,15 +17,18 @@
      *
      * @param client the client that waits for the response
      * @param traceId the request's trace id
+     * @param receivedAtUs when the request was received, in microseconds of the event loop's clock
      * @param expiresAtUs when the client stops waiting, in microseconds of the event loop's clock
      * @param forwardedByPartner whether a partner's front door has forwarded the request to this one
      * @return the request; null if the trace id is in use
      */
-    public InFlightRequest add(ClientConnection client, String traceId, long expiresAtUs, boolean forwardedByPartner) {
+    public InFlightRequest add(
+            ClientConnection client, String traceId, long receivedAtUs, long expiresAtUs, boolean forwardedByPartner) {
         if (!traceIds.add(traceId)) {
             return null;
         }
-        InFlightRequest request = new InFlightRequest(nextId++, traceId, client, expiresAtUs, forwardedByPartner);
+        InFlightRequest request =
+                new InFlightRequest(nextId++, traceId, client, receivedAtUs, expiresAtUs, forwardedByPartner);
         byId.put(request.id(), request);
         return request;
     }
--- a/src/test/java/hopdrum/frontdoor/ClientLimitsTest.java
+++ b/src/test/java/hopdrum/frontdoor/ClientLimitsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import hopdrum.frontdoor.connection.ClientCloseReason;
 import hopdrum.frontdoor.connection.ClientConnection;
 import hopdrum.frontdoor.connection.ResourceBudget;
 import hopdrum.frontdoor.lifecycle.EventLoop;
@@ -41,6 +42,11 @@
                         throw new AssertionError("no request was accepted");
                     }
 
+                    @Override
+                    public void connectionClosed(ClientCloseReason reason) {
+                        assertThat(reason).isEqualTo(ClientCloseReason.CLIENT_CLOSED);
+                    }
+
                     @Override
                     public boolean isReady() {
                         return true;
