Read on behind a request in flight, so that a client's leaving is always noticed

Cause: the end of a client's stream stands behind all bytes that the client has sent. A connection with a request in flight stopped reading once its receive buffer of 128 KiB was full of pipelined requests (StreamConnection.updateInterest, ClientConnection.receiveMemoryDenied), and never came to the end. And a request was handled as soon as it was complete, also when the rest of what its client had sent, and the close behind it, stood unread in the kernel.

Change: a connection with a request in flight never stops reading. A request that came with a backlog waits until the backlog is read. Before an attempt is written, its client's socket is read once more.

--- a/src/main/java/hopdrum/frontdoor/AttemptDispatcher.java
+++ b/src/main/java/hopdrum/frontdoor/AttemptDispatcher.java
@@ -52,7 +52,7 @@
         Attempt attempt = request.addAttempt(loop.nowUs(), timeoutUs, writeWithinUs);
         attempt.armTimeout(loop, () -> attemptTimedOut(attempt));
         ConnectionPool pool = directory.get(backendId);
-        if (request.client() == null || pool == null) {
+        if (request.client() == null || request.client().hasPeerLeft() || pool == null) {
             tally.attemptNotSent();
             loop.runAfterCurrentEvent(() -> attemptEnded(attempt, Outcome.INVALID_REQUEST, NO_LOAD_REPORT));
             return;
--- a/src/main/java/hopdrum/frontdoor/ClientListener.java
+++ b/src/main/java/hopdrum/frontdoor/ClientListener.java
@@ -42,6 +42,9 @@
         /** Called when a client has disconnected while its request was in flight. */
         void clientDisconnected(ClientConnection client);
 
+        /** Called when a client has pipelined more requests than its connection keeps, and one has been rejected. */
+        void excessRequestRejected();
+
         /** Called when a client's connection has been closed. */
         void connectionClosed(ClientCloseReason reason);
 
@@ -211,7 +214,7 @@
 
     @Override
     public void messageReceived(ClientConnection client) throws MalformedMessageException {
-        if (RequestHead.isReadinessCheck(client.receiveBuffer())) {
+        if (RequestHead.isReadinessCheck(client.messageBuffer())) {
             client.respond(requests.isReady() && !draining ? 200 : 503, 0, false);
         } else {
             requests.requestReceived(client);
@@ -242,6 +245,11 @@
         requests.clientDisconnected(client);
     }
 
+    @Override
+    public void excessRequestRejected() {
+        requests.excessRequestRejected();
+    }
+
     @Override
     public void connectionClosed(ClientConnection client, ClientCloseReason reason) {
         requests.connectionClosed(reason);
--- a/src/main/java/hopdrum/frontdoor/DiscoveryClient.java
+++ b/src/main/java/hopdrum/frontdoor/DiscoveryClient.java
@@ -3,6 +3,8 @@
 import hopdrum.frontdoor.connection.DiscoveredBackend;
 import hopdrum.frontdoor.connection.MemoryBudget;
 import hopdrum.frontdoor.connection.ResourceBudget;
+import hopdrum.frontdoor.lifecycle.BufferLimits;
+import hopdrum.frontdoor.lifecycle.CloseCause;
 import hopdrum.frontdoor.lifecycle.EventLoop;
 import hopdrum.frontdoor.lifecycle.Log;
 import hopdrum.frontdoor.lifecycle.StreamConnection;
--- a/src/main/java/hopdrum/frontdoor/RequestHandler.java
+++ b/src/main/java/hopdrum/frontdoor/RequestHandler.java
@@ -51,7 +51,7 @@
 
     @Override
     public void requestReceived(ClientConnection client) throws MalformedMessageException {
-        head.read(client.receiveBuffer(), client.message());
+        head.read(client.messageBuffer(), client.message());
         long remainingUs = Math.max(1, head.timeLeftMs * 1000 - client.messageAgeUs());
         boolean hasPartners = fleet.hasPartners();
         InFlightRequest request = requests.add(
@@ -59,7 +59,7 @@
                 head.traceId,
                 loop.nowUs(),
                 loop.nowUs() + remainingUs,
-                hasPartners && RequestForwarder.isForwarded(client.receiveBuffer(), client.message()));
+                hasPartners && RequestForwarder.isForwarded(client.messageBuffer(), client.message()));
         if (request == null) {
             throw new MalformedMessageException(409, "another request in flight has the same X-Trace-Id");
         }
@@ -78,6 +78,13 @@
         requests.removeIfDone(request);
     }
 
+    @Override
+    public void excessRequestRejected() {
+        LOG.info("rejecting pipelined requests that exceed the receive buffer", null);
+        tally.requestReceived();
+        tally.requestRejected();
+    }
+
     @Override
     public void connectionClosed(ClientCloseReason reason) {
         tally.clientConnectionClosed(reason);
--- a/src/main/java/hopdrum/frontdoor/connection/BackendConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/BackendConnection.java
@@ -1,6 +1,8 @@
 package hopdrum.frontdoor.connection;
 
 import hopdrum.frontdoor.connection.MemoryBudget.Purpose;
+import hopdrum.frontdoor.lifecycle.BufferLimits;
+import hopdrum.frontdoor.lifecycle.CloseCause;
 import hopdrum.frontdoor.lifecycle.EventLoop;
 import hopdrum.frontdoor.lifecycle.Log;
 import hopdrum.frontdoor.lifecycle.StreamConnection;
@@ -120,7 +122,7 @@
         // A partner's front door derives its soft deadline from the client's deadline, not from the attempt's.
         long deadlineUs = pool.isPartner() ? attempt.request().expiresAtUs() : attempt.deadlineUs();
         long remainingMs = Math.max(1, (deadlineUs - loop.nowUs()) / 1000);
-        if (!RequestForwarder.forward(client.receiveBuffer(), client.message(), remainingMs, pool.isPartner(), out)) {
+        if (!RequestForwarder.forward(client.messageBuffer(), client.message(), remainingMs, pool.isPartner(), out)) {
             return false;
         }
         flush();
@@ -133,6 +135,9 @@
             connectTimeout.cancel();
             connectTimeout = null;
         }
+        if (attempt != null && attempt.request().client() != null) {
+            attempt.request().client().readNow(); // it may have left while the connection was pending
+        }
         if (attempt == null) {
             return;
         }
--- a/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
@@ -1,9 +1,8 @@
 package hopdrum.frontdoor.connection;
 
-import hopdrum.frontdoor.connection.MemoryBudget.Purpose;
+import hopdrum.frontdoor.lifecycle.CloseCause;
 import hopdrum.frontdoor.lifecycle.EventLoop;
 import hopdrum.frontdoor.lifecycle.Log;
-import hopdrum.frontdoor.lifecycle.StreamConnection;
 import hopdrum.frontdoor.wire.HttpReader;
 import hopdrum.frontdoor.wire.HttpWriter;
 import hopdrum.frontdoor.wire.MalformedMessageException;
@@ -12,22 +11,19 @@
 import java.nio.channels.SocketChannel;
 
 /** A connection from a client. Messages are handled one at a time, each after the response to the one before. */
-public final class ClientConnection extends StreamConnection {
+public final class ClientConnection extends PipelinedRequestReader {
     private static final Log LOG = new Log("clients");
-    private static final int MAX_MESSAGE_BYTES = 128 << 10;
+    private static final int STATUS_REJECTED = 503;
+    private static final int MAX_BUFFERED_REJECTION_BYTES = 16 << 10;
     private static final long READ_RESPONSE_TIMEOUT_US = 10_000_000; // enough for a client to read a long response
     private static final long LINGER_US = 1_000_000; // after the last response, which may reach the client late
     private static final long IDLE_LINGER_US = 200_000; // enough for a message that was sent before the close
     private static final long FIRST_MESSAGE_TIMEOUT_US = 2_000_000;
     private final ClientConnectionListener listener;
     private final long messageTimeoutUs;
-    private final HttpReader reader = new HttpReader(HttpReader.Kind.REQUEST);
     private InFlightRequest request; // null while no request is in flight on this connection
-    private long messageArrivalUs; // earliest arrival of the front message's first byte; 0 without a message
-    private long nextMessageArrivalUs; // the same for the bytes that arrived behind the front message
     private EventLoop.Timer timeout; // of the transfer that the connection waits for; null if there is none
     private long idleSinceUs;
-    private int discardedBytes; // bytes that arrived after the last response
     private boolean closing; // whether the last response is buffered or written, or the connection lingers
     private ClientCloseReason closeReason = ClientCloseReason.SHUTDOWN;
 
@@ -43,104 +39,96 @@
     public ClientConnection(
             EventLoop loop, SocketChannel channel, ResourceBudget budget, ClientConnectionListener listener)
             throws IOException {
-        super(
-                loop,
-                channel,
-                new BufferLimits(MAX_MESSAGE_BYTES, budget.memoryFor(Purpose.INCOMING_REQUEST)),
-                new BufferLimits(HttpReader.RESPONSE_RING_BYTES, budget.memoryFor(Purpose.OUTGOING_RESPONSE)));
+        super(loop, channel, budget);
         this.listener = listener;
         this.messageTimeoutUs = budget.transferTimeoutUs();
         timeout = loop.scheduleAfter(FIRST_MESSAGE_TIMEOUT_US, this::firstMessageTimedOut);
         idleSinceUs = loop.nowUs();
     }
 
-    /**
-     * The receive buffer. The current message stays at the front of the buffer until its response has been buffered.
-     */
-    public RingBuffer receiveBuffer() {
-        return in;
-    }
-
-    /** The positions in the receive buffer of the parts of the message at its front. */
-    public HttpReader message() {
-        return reader;
-    }
-
     /** The request in flight on this connection; null if there is none. */
     public InFlightRequest request() {
         return request;
     }
 
-    /**
-     * The longest time, in microseconds, for which the first byte of the message at the front may have been waiting
-     * here.
-     */
-    public long messageAgeUs() {
-        return loop.nowUs() - messageArrivalUs;
-    }
-
     /** Attaches the request that the message at the front contains; further messages wait for its response. */
     public void attachRequest(InFlightRequest inFlightRequest) {
         request = inFlightRequest;
     }
 
     @Override
-    protected void bytesReceived() {
-        if (closing) {
-            discardedBytes += in.size();
-            in.skip(in.size());
-            in.shrink();
-            if (discardedBytes > MAX_MESSAGE_BYTES) {
-                close(ClientCloseReason.SENT_AFTER_LAST_RESPONSE);
-            }
-            return;
+    boolean isAwaitingResponse() {
+        return request != null;
+    }
+
+    @Override
+    boolean isClosing() {
+        return closing;
+    }
+
+    @Override
+    void messageStarted() {
+        cancelTimeout();
+        listener.connectionBusy(this);
+    }
+
+    @Override
+    void messageComplete() throws MalformedMessageException {
+        cancelTimeout();
+        listener.messageReceived(this);
+    }
+
+    @Override
+    void messageMalformed(MalformedMessageException e) {
+        cancelTimeout();
+        LOG.info("a request was rejected with " + e.status, e.getMessage());
+        respond(e.status, 0, true);
+    }
+
+    @Override
+    void messageIncomplete() {
+        if (reader.takeExpectContinue() && HttpWriter.writeContinueResponse(out)) {
+            flush();
         }
-        if (request != null) {
-            nextMessageArrivalUs = nextMessageArrivalUs == 0 ? loop.earliestArrivalUs() : nextMessageArrivalUs;
-            return;
+        if (timeout == null) {
+            // A client must not occupy a connection by sending slowly.
+            timeout = loop.scheduleAfter(messageTimeoutUs, this::transferTimedOut);
         }
-        if (messageArrivalUs == 0) {
-            cancelTimeout();
-            messageArrivalUs = loop.earliestArrivalUs();
-            listener.connectionBusy(this);
+    }
+
+    @Override
+    void allMessagesHandled() {
+        becomeIdle();
+    }
+
+    @Override
+    boolean rejectExcessRequest(boolean isLast) {
+        if (out.size() > MAX_BUFFERED_REJECTION_BYTES) {
+            return false; // until the client has read some of them
         }
-        handleMessages();
-    }
-
-    /** Handles messages until one is waiting for its response or is incomplete. */
-    private void handleMessages() {
-        try {
-            while (request == null && !closing && !isClosed()) {
-                if (!reader.read(in)) {
-                    awaitRestOfMessage();
-                    return;
-                }
-                cancelTimeout();
-                listener.messageReceived(this);
-            }
-        } catch (MalformedMessageException e) {
-            cancelTimeout();
-            LOG.info("a request was rejected with " + e.status, e.getMessage());
-            respond(e.status, 0, true);
+        boolean lastResponse = isLast && listener.closesAfterResponse(false);
+        if (!HttpWriter.writeEmptyResponse(STATUS_REJECTED, 0, lastResponse, out)) {
+            loop.runAfterCurrentEvent(() -> close(ClientCloseReason.NO_RESPONSE_BUFFER));
+            return false;
         }
+        listener.excessRequestRejected();
+        closing = lastResponse;
+        return true;
     }
 
-    private void awaitRestOfMessage() throws MalformedMessageException {
-        if (!reader.isStarted() && in.isEmpty()) {
-            messageArrivalUs = 0;
-            becomeIdle();
-        } else {
-            if (reader.takeExpectContinue() && HttpWriter.writeContinueResponse(out)) {
-                flush();
-            }
-            if (in.isFull()) {
-                throw new MalformedMessageException(413, "the message exceeds the receive buffer");
-            }
-            awaitReceiveMemory(reader.missingBytes(in));
-            if (timeout == null) {
-                // A client must not occupy a connection by sending slowly.
-                timeout = loop.scheduleAfter(messageTimeoutUs, this::transferTimedOut);
-            }
+    @Override
+    void excessResponsesBuffered() {
+        if (closing) {
+            discardMessages();
+        }
+        flush();
+        awaitClientReading();
+    }
+
+    @Override
+    void bytesDiscarded(int totalBytes) {
+        if (totalBytes > MAX_MESSAGE_BYTES) {
+            close(ClientCloseReason.SENT_AFTER_LAST_RESPONSE);
         }
     }
 
@@ -185,7 +173,7 @@
     }
 
     private boolean awaitsRestOfMessage() {
-        return request == null && !closing && !in.isEmpty() && !isClosed();
+        return request == null && !closing && (!in.isEmpty() || hasExcess()) && !isClosed();
     }
 
     /** Whether the rest of a request is awaited and nothing has arrived since a time of the event loop's clock. */
@@ -210,15 +198,6 @@
         }
     }
 
-    @Override
-    protected void receiveMemoryDenied() {
-        if (request == null) {
-            awaitReceiveMemory(reader.missingBytes(in));
-        } else {
-            suspendReading(); // until the response frees the request's bytes
-        }
-    }
-
     private void cancelTimeout() {
         if (timeout != null) {
             timeout.cancel();
@@ -234,7 +213,7 @@
      * @return false if the send buffer has no room for the response, or gets no memory for it
      */
     public boolean forwardResponse(RingBuffer from, HttpReader response) {
-        boolean lastResponse = !reader.keepAlive() || listener.closesAfterResponse(in.size() > reader.messageTo());
+        boolean lastResponse = !reader.keepAlive() || listener.closesAfterResponse(hasReceivedMore());
         if (!HttpWriter.forwardResponse(from, response, lastResponse, out)) {
             return false;
         }
@@ -264,8 +243,7 @@
      * @param close whether the connection is closed after the response in any case
      */
     public void respond(int status, long retryAfterUs, boolean close) {
-        boolean lastResponse =
-                close || !reader.keepAlive() || listener.closesAfterResponse(in.size() > reader.messageTo());
+        boolean lastResponse = close || !reader.keepAlive() || listener.closesAfterResponse(hasReceivedMore());
         if (!HttpWriter.writeEmptyResponse(status, retryAfterUs, lastResponse, out)) {
             loop.runAfterCurrentEvent(() -> close(ClientCloseReason.NO_RESPONSE_BUFFER));
             return;
@@ -277,34 +255,24 @@
         request = null;
         closing = lastResponse;
         if (lastResponse) {
-            in.skip(in.size());
-            in.shrink();
+            discardMessages();
         } else {
-            reader.removeMessage(in);
-            messageArrivalUs = in.isEmpty() ? 0 : nextMessageArrivalUs == 0 ? messageArrivalUs : nextMessageArrivalUs;
-            nextMessageArrivalUs = 0;
+            removeMessage();
         }
         resumeReading();
         if (out.size() > 0) {
             flush();
         }
-        if (!out.isEmpty() && timeout == null) {
-            timeout = loop.scheduleAfter(
-                    READ_RESPONSE_TIMEOUT_US, this::transferTimedOut); // the client may never read the response
-        }
+        awaitClientReading();
         if (!lastResponse) {
-            loop.runAfterCurrentEvent(this::resumeAfterResponse);
+            loop.runAfterCurrentEvent(this::handleNextMessages);
         }
     }
 
-    private void resumeAfterResponse() {
-        if (!isClosed() && request == null && !closing) {
-            if (messageArrivalUs != 0 && !in.isEmpty()) {
-                handleMessages();
-            } else if (in.isEmpty()) {
-                becomeIdle();
-            }
-            updateInterest();
+    private void awaitClientReading() {
+        if (!out.isEmpty() && timeout == null) {
+            timeout = loop.scheduleAfter(
+                    READ_RESPONSE_TIMEOUT_US, this::transferTimedOut); // the client may never read the response
         }
     }
 
@@ -313,6 +281,8 @@
         cancelTimeout();
         if (closing && !isClosed()) {
             linger(LINGER_US);
+        } else if (!in.isEmpty() || hasExcess()) {
+            loop.runAfterCurrentEvent(this::handleNextMessages);
         }
     }
 
@@ -341,7 +311,7 @@
      * Whether no request is in flight, no bytes are buffered in either direction, and the connection is not closing.
      */
     public boolean isIdle() {
-        return request == null && in.isEmpty() && out.isEmpty() && !closing;
+        return request == null && in.isEmpty() && !hasExcess() && out.isEmpty() && !closing;
     }
 
     @Override
@@ -359,6 +329,7 @@
     @Override
     protected void connectionClosed() {
         cancelTimeout();
+        freeExcess();
         if (request != null) {
             listener.clientDisconnected(this);
         }
--- a/src/main/java/hopdrum/frontdoor/connection/ClientConnectionListener.java
+++ b/src/main/java/hopdrum/frontdoor/connection/ClientConnectionListener.java
@@ -15,6 +15,9 @@
     /** Called when all received messages are handled and no request is in flight on the connection. */
     void connectionIdle(ClientConnection client);
 
+    /** Called when a pipelined request beyond the receive buffer has been rejected. */
+    void excessRequestRejected();
+
     /** Called when the connection is no longer idle. */
     void connectionBusy(ClientConnection client);
 
--- a/src/main/java/hopdrum/frontdoor/connection/CounterConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/CounterConnection.java
@@ -1,6 +1,8 @@
 package hopdrum.frontdoor.connection;
 
 import hopdrum.frontdoor.connection.MemoryBudget.Purpose;
+import hopdrum.frontdoor.lifecycle.BufferLimits;
+import hopdrum.frontdoor.lifecycle.CloseCause;
 import hopdrum.frontdoor.lifecycle.EventLoop;
 import hopdrum.frontdoor.lifecycle.StreamConnection;
 import hopdrum.frontdoor.wire.CounterProtocol;
--- /dev/null
+++ b/src/main/java/hopdrum/frontdoor/connection/PipelinedRequestReader.java
@@ -0,0 +1,283 @@
+package hopdrum.frontdoor.connection;
+
+import hopdrum.frontdoor.connection.MemoryBudget.Purpose;
+import hopdrum.frontdoor.lifecycle.BufferLimits;
+import hopdrum.frontdoor.lifecycle.EventLoop;
+import hopdrum.frontdoor.lifecycle.StreamConnection;
+import hopdrum.frontdoor.wire.HttpReader;
+import hopdrum.frontdoor.wire.MalformedMessageException;
+import hopdrum.frontdoor.wire.RingBuffer;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+
+/**
+ * The receiving side of a client's connection: hands over requests one at a time, each after the response to the one
+ * before. Never stops reading while a request is in flight, since the end of the client's stream stands behind all bytes
+ * that it has sent: pipelined requests beyond the receive buffer are rejected.
+ */
+abstract class PipelinedRequestReader extends StreamConnection {
+    /** The longest message that is accepted, with its framing, in bytes. */
+    static final int MAX_MESSAGE_BYTES = 128 << 10;
+
+    private static final int MAX_PIPELINE_BYTES = 256 << 10;
+    // Within this time, what a client has sent before it was read is read to its end, which may tell that it has left.
+    private static final long MAX_DEFERRAL_US = 250_000;
+    private static final long DEFERRAL_CHECK_INTERVAL_US = 1_000;
+    private static final long BACKLOG_PAUSE_US = 2_000; // longer than the kernel takes to pass on the next part
+
+    /** Reads the message at the front of the receive buffer. */
+    final HttpReader reader = new HttpReader(HttpReader.Kind.REQUEST);
+
+    private final ResourceBudget budget;
+    private ExcessRequests excess; // null while all received bytes are kept
+    private long messageArrivalUs; // earliest arrival of the front message's first byte; 0 without a message
+    private long nextMessageArrivalUs; // the same for the bytes that arrived behind the front message
+    private long deferredSinceUs; // since when a complete message waits for unread bytes; 0 if none does
+    private int discardedBytes; // bytes that arrived after the last response
+
+    PipelinedRequestReader(EventLoop loop, SocketChannel channel, ResourceBudget budget) throws IOException {
+        super(
+                loop,
+                channel,
+                new BufferLimits(MAX_PIPELINE_BYTES, budget.memoryFor(Purpose.INCOMING_REQUEST)),
+                new BufferLimits(HttpReader.RESPONSE_RING_BYTES, budget.memoryFor(Purpose.OUTGOING_RESPONSE)));
+        this.budget = budget;
+    }
+
+    /** Whether a request is in flight, so that further messages wait for its response. */
+    abstract boolean isAwaitingResponse();
+
+    /** Whether the last response has been given, so that everything received is discarded. */
+    abstract boolean isClosing();
+
+    /** Called when the first bytes of a message have arrived on an idle connection. */
+    abstract void messageStarted();
+
+    /** Called when a complete message is at the front of the receive buffer. */
+    abstract void messageComplete() throws MalformedMessageException;
+
+    /** Called when the message at the front of the receive buffer cannot be accepted. */
+    abstract void messageMalformed(MalformedMessageException e);
+
+    /** Called when the rest of a message is awaited. */
+    abstract void messageIncomplete();
+
+    /** Called when all received messages have been handled. */
+    abstract void allMessagesHandled();
+
+    /**
+     * Buffers the response to a request that was not kept.
+     *
+     * @param isLast whether no further request has been received
+     * @return false if the response has to wait for the send buffer
+     */
+    abstract boolean rejectExcessRequest(boolean isLast);
+
+    /** Called when responses to requests that were not kept have been buffered. */
+    abstract void excessResponsesBuffered();
+
+    /** Called when bytes have been discarded since the connection is closing. */
+    abstract void bytesDiscarded(int totalBytes);
+
+    /**
+     * The receive buffer. The current message stays at the front of the buffer until its response has been buffered.
+     */
+    public final RingBuffer messageBuffer() {
+        return in;
+    }
+
+    /** The positions in the receive buffer of the parts of the message at its front. */
+    public final HttpReader message() {
+        return reader;
+    }
+
+    /**
+     * The longest time, in microseconds, for which the first byte of the message at the front may have been waiting
+     * here.
+     */
+    public final long messageAgeUs() {
+        return loop.nowUs() - messageArrivalUs;
+    }
+
+    /** Whether bytes behind the message at the front have arrived. */
+    final boolean hasReceivedMore() {
+        return in.size() > reader.messageTo() || excess != null;
+    }
+
+    @Override
+    protected final RingBuffer receiveBuffer() {
+        return excess == null ? in : excess.buffer();
+    }
+
+    @Override
+    protected final void bytesReceived() {
+        if (isClosing()) {
+            discardedBytes += in.size();
+            in.skip(in.size());
+            in.shrink();
+            bytesDiscarded(discardedBytes);
+        } else if (excess != null) {
+            excess.bytesReceived();
+            answerExcessRequests();
+        } else if (isAwaitingResponse()) {
+            nextMessageArrivalUs = nextMessageArrivalUs == 0 ? loop.earliestArrivalUs() : nextMessageArrivalUs;
+        } else {
+            if (messageArrivalUs == 0) {
+                messageArrivalUs = loop.earliestArrivalUs();
+                messageStarted();
+            }
+            handleMessages();
+        }
+    }
+
+    /** Handles messages until one is waiting for its response or is incomplete. */
+    private void handleMessages() {
+        try {
+            while (!isAwaitingResponse() && !isClosing() && !isClosed() && !in.isEmpty()) {
+                boolean isComplete = reader.read(in);
+                if (!isComplete && in.isEmpty()) {
+                    break; // only line breaks between two messages have arrived
+                }
+                if (!isComplete) {
+                    awaitRestOfMessage();
+                    return;
+                }
+                if (isDeferred()) {
+                    return;
+                }
+                messageComplete();
+            }
+        } catch (MalformedMessageException e) {
+            messageMalformed(e);
+        }
+        answerExcessRequests();
+    }
+
+    private void awaitRestOfMessage() throws MalformedMessageException {
+        if (in.size() >= MAX_MESSAGE_BYTES) {
+            throw new MalformedMessageException(413, "the message exceeds the receive buffer");
+        }
+        messageIncomplete();
+        awaitReceiveMemory(reader.missingBytes(in));
+    }
+
+    /**
+     * Whether a complete message has to wait until what the client has sent behind it has been read. The kernel passes
+     * on a long backlog in parts, so a pause in it is not its end.
+     */
+    private boolean isDeferred() {
+        if (deferredSinceUs == 0 && isDrained()) {
+            return false;
+        }
+        long nowUs = loop.nowUs();
+        if (deferredSinceUs == 0) {
+            deferredSinceUs = nowUs;
+            loop.scheduleAfter(DEFERRAL_CHECK_INTERVAL_US, this::checkDeferral);
+        }
+        if (nowUs - lastProgressUs() < BACKLOG_PAUSE_US && nowUs - deferredSinceUs < MAX_DEFERRAL_US) {
+            return true;
+        }
+        deferredSinceUs = 0;
+        return false;
+    }
+
+    private void checkDeferral() {
+        if (deferredSinceUs != 0 && !isClosed()) {
+            readNow();
+        }
+        if (deferredSinceUs != 0 && !isClosed()) {
+            handleMessages();
+        }
+        if (deferredSinceUs != 0 && !isClosed()) {
+            loop.scheduleAfter(DEFERRAL_CHECK_INTERVAL_US, this::checkDeferral);
+        }
+    }
+
+    @Override
+    protected final boolean mayReceiveBufferGrow() {
+        return excess != null || !reader.isComplete() || !budget.memory().isLow();
+    }
+
+    @Override
+    protected final void receiveBufferExhausted() {
+        if (isClosing()) {
+            return;
+        }
+        if (!reader.isComplete()) {
+            awaitReceiveMemory(reader.missingBytes(in));
+        } else if (excess == null) {
+            excess = ExcessRequests.takeIncomplete(in, reader.messageTo(), budget.memoryFor(Purpose.CONTROL));
+        }
+    }
+
+    /** Answers the requests that were not kept, once all before them have been answered. */
+    final void answerExcessRequests() {
+        if (isClosed() || isAwaitingResponse() || isClosing() || !in.isEmpty()) {
+            return;
+        }
+        if (excess == null || rejectExcessRequests()) {
+            endExcess();
+        }
+    }
+
+    /** Returns whether all requests that were not kept have been answered and the connection stays open. */
+    private boolean rejectExcessRequests() {
+        boolean hasRoom = true;
+        while (hasRoom && excess.hasUnanswered() && !isClosing()) {
+            hasRoom = rejectExcessRequest(excess.isLastUnanswered());
+            if (hasRoom) {
+                excess.answerOne();
+            }
+        }
+        excessResponsesBuffered();
+        return hasRoom && !isClosing() && !isClosed();
+    }
+
+    private void endExcess() {
+        if (excess != null && excess.lastStatus() != 0) {
+            messageMalformed(new MalformedMessageException(excess.lastStatus(), "a request beyond the receive buffer"));
+        } else if (excess != null && !excess.isBetweenRequests()) {
+            messageIncomplete();
+        } else {
+            freeExcess();
+            messageArrivalUs = 0;
+            allMessagesHandled();
+            updateInterest();
+        }
+    }
+
+    /** Whether a request that was not kept is being received or has not been answered. */
+    final boolean hasExcess() {
+        return excess != null;
+    }
+
+    /** Releases the memory of requests that were not kept. */
+    final void freeExcess() {
+        if (excess != null) {
+            excess.free();
+            excess = null;
+        }
+    }
+
+    /** Removes the message at the front, whose response has been buffered. */
+    final void removeMessage() {
+        reader.removeMessage(in);
+        messageArrivalUs = in.isEmpty() ? 0 : nextMessageArrivalUs == 0 ? messageArrivalUs : nextMessageArrivalUs;
+        nextMessageArrivalUs = 0;
+    }
+
+    /** Discards all messages, since the last response has been given. */
+    final void discardMessages() {
+        in.skip(in.size());
+        in.shrink();
+        freeExcess();
+    }
+
+    /** Handles the messages that have arrived behind one whose response has been buffered. */
+    final void handleNextMessages() {
+        if (!isClosed() && !isAwaitingResponse() && !isClosing()) {
+            handleMessages();
+            updateInterest();
+        }
+    }
+}
--- a/src/main/java/hopdrum/frontdoor/lifecycle/StreamConnection.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/StreamConnection.java
@@ -1,10 +1,8 @@
 package hopdrum.frontdoor.lifecycle;
 
-import hopdrum.frontdoor.wire.BufferMemory;
 import hopdrum.frontdoor.wire.RingBuffer;
 import java.io.IOException;
 import java.net.SocketAddress;
-import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -15,22 +13,6 @@
  * the event loop's thread.
  */
 public abstract class StreamConnection implements EventLoop.ChannelHandler {
-    /** How a connection came to be disconnected, if not by {@link #close}. */
-    public enum CloseCause {
-        /** The other side has ended its stream. */
-        END_OF_STREAM,
-        /** The connection was refused or reset, or has failed. */
-        FAILURE
-    }
-
-    /**
-     * The limits of one of a connection's buffers.
-     *
-     * @param maxBytes the most bytes that the buffer may hold
-     * @param memory grants the memory by which the buffer grows
-     */
-    public record BufferLimits(int maxBytes, BufferMemory memory) {}
-
     private static final int MAX_READ_BYTES = 16 << 10; // per event, so that one fast sender does not starve the others
     // A receive buffer of this size grows only once its bytes have been handled, since they may tell how many follow.
     private static final int HANDLE_BEFORE_GROWTH_BYTES = 4 << 10;
@@ -46,8 +28,10 @@
     private final SelectionKey key;
     private boolean connected;
     private boolean closed;
-    private boolean failureScheduled; // a write has failed, and disconnected() is called after the current event
+    private boolean disconnectScheduled; // disconnected() is called after the current event
     private boolean inputEnded;
+    private boolean drained = true; // whether the last read has found no more bytes than it has taken
+    private boolean memoryDenied; // whether the last read has found the receive buffer full and unable to grow
     private boolean readingSuspended;
     private int missingReceiveBytes; // for which reading waits until there is memory; 0 if it does not wait
     private long lastProgressUs; // when bytes were last received or written
@@ -63,7 +47,19 @@
      */
     protected StreamConnection(EventLoop loop, SocketChannel channel, BufferLimits inLimits, BufferLimits outLimits)
             throws IOException {
-        this(loop, channel, inLimits, outLimits, true);
+        this.loop = loop;
+        this.channel = channel;
+        try {
+            SocketCalls.configure(channel);
+            connected = channel.isConnected();
+            key = channel.register(loop.selector(), connected ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, this);
+        } catch (IOException | RuntimeException e) {
+            channel.close();
+            throw e;
+        }
+        in = new RingBuffer(inLimits.maxBytes(), inLimits.memory());
+        out = new RingBuffer(outLimits.maxBytes(), outLimits.memory());
+        lastProgressUs = loop.nowUs();
     }
 
     /**
@@ -78,38 +74,7 @@
      */
     protected StreamConnection(EventLoop loop, SocketAddress to, BufferLimits inLimits, BufferLimits outLimits)
             throws IOException {
-        this(loop, open(to), inLimits, outLimits, false);
-    }
-
-    private StreamConnection(
-            EventLoop loop, SocketChannel channel, BufferLimits inLimits, BufferLimits outLimits, boolean accepted)
-            throws IOException {
-        this.loop = loop;
-        this.channel = channel;
-        try {
-            channel.configureBlocking(false);
-            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            connected = accepted || channel.isConnected();
-            key = channel.register(loop.selector(), connected ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, this);
-        } catch (IOException | RuntimeException e) {
-            channel.close();
-            throw e;
-        }
-        in = new RingBuffer(inLimits.maxBytes, inLimits.memory);
-        out = new RingBuffer(outLimits.maxBytes, outLimits.memory);
-        lastProgressUs = loop.nowUs();
-    }
-
-    private static SocketChannel open(SocketAddress to) throws IOException {
-        SocketChannel channel = SocketChannel.open();
-        try {
-            channel.configureBlocking(false);
-            channel.connect(to);
-            return channel;
-        } catch (IOException | RuntimeException e) {
-            channel.close();
-            throw e;
-        }
+        this(loop, SocketCalls.startConnecting(to), inLimits, outLimits);
     }
 
     /** Called when bytes have been added to the receive buffer. */
@@ -124,11 +89,28 @@
     protected void connected() {}
 
     /**
-     * Called when the receive buffer is filled and gets no memory to grow. Waits for memory, unless a subclass
-     * overrides it.
+     * Called when the receive buffer is filled and cannot grow. Waits for memory, unless a subclass overrides it; a
+     * buffer at its limit has to be emptied first.
      */
-    protected void receiveMemoryDenied() {
-        awaitReceiveMemory(1);
+    protected void receiveBufferExhausted() {
+        if (!in.isFull()) {
+            awaitReceiveMemory(1);
+        }
+    }
+
+    /** The buffer into which received bytes go; {@link #in}, unless a subclass overrides it. */
+    protected RingBuffer receiveBuffer() {
+        return in;
+    }
+
+    /** Whether the receive buffer may ask for memory; a subclass may limit the growth further than the buffer does. */
+    protected boolean mayReceiveBufferGrow() {
+        return true;
+    }
+
+    /** Whether the last read has taken all bytes that had arrived. */
+    protected final boolean isDrained() {
+        return drained;
     }
 
     /**
@@ -215,12 +197,7 @@
             return;
         }
         if (readyKey.isConnectable()) {
-            channel.finishConnect();
-            connected = true;
-            connected();
-            if (!closed) {
-                write();
-            }
+            finishConnecting();
         }
         if (!closed && readyKey.isWritable()) {
             write();
@@ -230,6 +207,16 @@
         }
     }
 
+    private void finishConnecting() throws IOException {
+        connected = channel.finishConnect();
+        if (connected) {
+            connected();
+            if (!closed) {
+                write();
+            }
+        }
+    }
+
     @Override
     public final void channelFailed(Exception e) {
         if (!(e instanceof IOException)) {
@@ -260,42 +247,75 @@
     }
 
     private void read() throws IOException {
-        boolean received = false;
-        boolean endOfStream = false;
-        boolean memoryDenied = false;
-        int sizeBefore = in.size();
-        while (!in.isFull() && in.size() - sizeBefore < MAX_READ_BYTES) {
-            if (!in.hasSpace() && received && in.capacity() >= HANDLE_BEFORE_GROWTH_BYTES) {
+        if (readAvailable()) {
+            bytesReceived();
+        }
+        if (!closed
+                && (receiveBuffer().isFull()
+                        || (memoryDenied && !receiveBuffer().hasSpace()))) {
+            receiveBufferExhausted();
+        }
+        if (inputEnded && !closed) {
+            handleDisconnect(CloseCause.END_OF_STREAM);
+        } else if (!closed) {
+            updateInterest();
+        }
+    }
+
+    /** Adds bytes that have arrived to the receive buffer; returns whether there were any. */
+    private boolean readAvailable() throws IOException {
+        RingBuffer buffer = receiveBuffer();
+        int sizeBefore = buffer.size();
+        drained = false;
+        memoryDenied = false;
+        while (buffer.size() - sizeBefore < MAX_READ_BYTES) {
+            if (!buffer.hasSpace() && buffer.size() > sizeBefore && buffer.capacity() >= HANDLE_BEFORE_GROWTH_BYTES) {
                 break;
             }
-            if (!in.hasSpace() && !in.reserve(1)) {
+            if (!buffer.hasSpace() && !(mayReceiveBufferGrow() && buffer.reserve(1))) {
                 memoryDenied = true;
                 break;
             }
-            ByteBuffer space = in.contiguousSpace();
+            ByteBuffer space = buffer.contiguousSpace();
             int capacity = space.remaining();
-            int count = channel.read(space);
-            if (count > 0) {
-                in.advanceEnd(count);
-                received = true;
-            }
-            endOfStream = count < 0;
-            if (count < capacity) {
+            int count = SocketCalls.read(channel, space);
+            buffer.advanceEnd(Math.max(0, count));
+            inputEnded = count == SocketCalls.END_OF_STREAM;
+            drained = count < capacity;
+            if (drained) {
                 break;
             }
         }
-        if (received) {
-            lastProgressUs = loop.nowUs();
-            bytesReceived();
+        boolean received = buffer.size() > sizeBefore;
+        lastProgressUs = received ? loop.nowUs() : lastProgressUs;
+        return received;
+    }
+
+    /**
+     * Reads what has arrived and returns whether the other side has ended the connection. May be called while Policy is
+     * calling a method of its Host: the subclass is notified of the end after the current event.
+     */
+    public final boolean hasPeerLeft() {
+        if (closed || disconnectScheduled || !connected) {
+            return closed || disconnectScheduled;
         }
-        if (memoryDenied && !closed && !in.hasSpace()) {
-            receiveMemoryDenied();
+        try {
+            if (readAvailable()) {
+                bytesReceived();
+            }
+        } catch (IOException e) {
+            scheduleDisconnect(CloseCause.FAILURE);
         }
-        if (endOfStream && !closed) {
-            inputEnded = true;
-            handleDisconnect(CloseCause.END_OF_STREAM);
-        } else if (!closed) {
-            updateInterest();
+        if (inputEnded) {
+            scheduleDisconnect(CloseCause.END_OF_STREAM);
+        }
+        return closed || disconnectScheduled;
+    }
+
+    private void scheduleDisconnect(CloseCause cause) {
+        if (!disconnectScheduled) {
+            disconnectScheduled = true;
+            loop.runAfterCurrentEvent(() -> handleDisconnect(cause));
         }
     }
 
@@ -310,10 +330,7 @@
         try {
             write();
         } catch (IOException e) {
-            if (!failureScheduled) {
-                failureScheduled = true;
-                loop.runAfterCurrentEvent(() -> handleDisconnect(CloseCause.FAILURE));
-            }
+            scheduleDisconnect(CloseCause.FAILURE);
         }
     }
 
@@ -321,7 +338,7 @@
         boolean hadOutput = !out.isEmpty();
         while (!out.isEmpty()) {
             ByteBuffer content = out.contiguousContent();
-            int count = channel.write(content);
+            int count = SocketCalls.write(channel, content);
             out.skip(count);
             if (count > 0) {
                 lastProgressUs = loop.nowUs();
@@ -344,7 +361,7 @@
      */
     protected final void updateInterest() {
         if (!closed && connected && key.isValid()) {
-            int ops = (in.isFull() || inputEnded || readingSuspended ? 0 : SelectionKey.OP_READ)
+            int ops = (receiveBuffer().isFull() || inputEnded || readingSuspended ? 0 : SelectionKey.OP_READ)
                     | (out.isEmpty() ? 0 : SelectionKey.OP_WRITE);
             if (ops != key.interestOps()) {
                 key.interestOps(ops);
@@ -363,9 +380,7 @@
      * Ends the outgoing stream. The subclass discards what is still received until the other side ends its stream too.
      */
     protected final void endSending() {
-        try {
-            channel.shutdownOutput();
-        } catch (IOException e) {
+        if (!SocketCalls.endSending(channel)) {
             close();
         }
     }
@@ -377,11 +392,7 @@
         }
         closed = true;
         key.cancel();
-        try {
-            channel.close();
-        } catch (IOException e) {
-            new Log("link").warning("a socket did not close cleanly", e.getMessage());
-        }
+        SocketCalls.close(channel);
         in.free();
         out.free();
         connectionClosed();
--- a/src/main/java/hopdrum/frontdoor/wire/HttpReader.java
+++ b/src/main/java/hopdrum/frontdoor/wire/HttpReader.java
@@ -195,6 +195,11 @@
         return expected;
     }
 
+    /** Whether a complete message is at the front of the buffer. */
+    public boolean isComplete() {
+        return state == State.COMPLETE;
+    }
+
     /** Whether any byte of the message has been read. */
     public boolean isStarted() {
         return head.isStarted();
--- a/src/main/java/hopdrum/frontdoor/wire/RingBuffer.java
+++ b/src/main/java/hopdrum/frontdoor/wire/RingBuffer.java
@@ -135,6 +135,11 @@
         front = size == 0 ? 0 : arrayIndex(count);
     }
 
+    /** Removes the bytes behind a position. */
+    public void truncate(int newSize) {
+        size = newSize;
+    }
+
     /** Appends an array of bytes; the caller has reserved the space. */
     public void put(byte[] from) {
         put(from, 0, from.length);
--- a/src/test/java/hopdrum/frontdoor/ClientLimitsTest.java
+++ b/src/test/java/hopdrum/frontdoor/ClientLimitsTest.java
@@ -42,6 +42,11 @@
                         throw new AssertionError("no request was accepted");
                     }
 
+                    @Override
+                    public void excessRequestRejected() {
+                        throw new AssertionError("no request was pipelined");
+                    }
+
                     @Override
                     public void connectionClosed(ClientCloseReason reason) {
                         assertThat(reason).isEqualTo(ClientCloseReason.CLIENT_CLOSED);
--- /dev/null
+++ b/src/test/java/hopdrum/frontdoor/ExcessRequestsTest.java
@@ -0,0 +1,86 @@
+package hopdrum.frontdoor;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Guards against pipelined requests beyond the receive buffer that get no answer, or one out of order. */
+@Timeout(30)
+class ExcessRequestsTest extends FrontDoorFixture {
+    private static final int REQUESTS_BEYOND_THE_BUFFER = 3000;
+    private final CompletableFuture<Void> release = new CompletableFuture<>();
+
+    @BeforeEach
+    void holdResponsesAndAllowAnyQuota() {
+        changeSetting("\"PerSecond\":1.0,\"Burst\":2.0", "\"PerSecond\":1000000.0,\"Burst\":1000000.0");
+        holdResponsesUntil(release, "for ");
+    }
+
+    private static String longRunning(String request) {
+        return request.replace("X-Expires-In-Ms: 4000", "X-Expires-In-Ms: 60000");
+    }
+
+    /** Sends one request that is held at the backend, and many behind it. */
+    private Client pipeline(String requestBehind, int count) throws Exception {
+        start();
+        Client client = new Client().send(longRunning(request("t", "order", "")));
+        assertThat(backend.nextRequest()).contains("X-Trace-Id: t");
+        StringBuilder pipelined = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            pipelined.append(requestBehind.replace("%d", Integer.toString(i)));
+        }
+        client.send(pipelined.toString());
+        awaitPendingEvents();
+        return client;
+    }
+
+    @Test
+    void eachRequestBeyondTheReceiveBufferIsRejectedInItsTurn() throws Exception {
+        Client client = pipeline(longRunning(request("t%d", "order", "")), REQUESTS_BEYOND_THE_BUFFER);
+        runInBackground(() -> release.complete(null));
+        assertThat(client.receive()).endsWith("for t");
+        int served = 0;
+        for (int i = 0; i < REQUESTS_BEYOND_THE_BUFFER; i++) {
+            String response = client.receive();
+            boolean isServed = response.startsWith("HTTP/1.1 200 ");
+            assertThat(response).matches(isServed ? "(?s).*for t" + i : "(?s)HTTP/1.1 503 .*");
+            assertThat(!isServed || served == i)
+                    .as("all responses of backends come first")
+                    .isTrue();
+            served += isServed ? 1 : 0;
+        }
+        assertThat(served).isBetween(1, REQUESTS_BEYOND_THE_BUFFER - 1);
+        assertThat(client.send(request("next", "order", "")).receive()).endsWith("for next");
+    }
+
+    @Test
+    void bodiesAndChunksBeyondTheReceiveBufferAreSkipped() throws Exception {
+        String chunks = "Transfer-Encoding: chunked\r\n\r\n" + chunk("x".repeat(30_000)) + "0\r\n";
+        Client client = pipeline(
+                longRunning(request("c%d", "order", chunks))
+                        + longRunning(request("l%d", "order", "Content-Length: 60000\r\n"))
+                        + "y".repeat(60_000),
+                20);
+        release.complete(null);
+        assertThat(client.receive()).endsWith("for t");
+        for (int i = 0; i < 40; i++) {
+            assertThat(client.receive()).matches("(?s)HTTP/1.1 (200|503) .*");
+        }
+        assertThat(client.send(request("next", "order", "")).receive()).endsWith("for next");
+    }
+
+    @Test
+    void aMalformedRequestBeyondTheReceiveBufferEndsTheConnectionAfterTheResponsesBeforeIt() throws Exception {
+        Client client = pipeline(longRunning(request("t%d", "order", "")), REQUESTS_BEYOND_THE_BUFFER);
+        client.send("nonsense\r\n\r\n" + request("behind", "order", ""));
+        release.complete(null);
+        for (int i = 0; i <= REQUESTS_BEYOND_THE_BUFFER; i++) {
+            assertThat(client.receive()).matches("(?s)HTTP/1.1 (200|503) .*");
+        }
+        assertThat(client.receive()).startsWith("HTTP/1.1 400 ").contains("Connection: close");
+        assertThat(client.receive()).isNull();
+    }
+}
