Answer all requests read before a shutdown's close, and before the earliest kill

Seen by callers: requests pipelined on a connection that was busy when a front door stopped accepting were read and dropped; a request whose last byte came 1.5 s after SIGTERM was answered after 4 s, when SIGKILL may have come at 3.7 s.

Cause: after the listening socket was closed, closesAfterResponse closed a connection although more had been read on it; and a shutdown had no time by which its answers have to be out. The last accept gave up at the first failing system call, which reset all connections that waited behind it.

Change: ShutdownSchedule states the times. The last accept goes on after a failure.

Failing accepts are not tested in this commit.

--- a/src/main/java/hopdrum/frontdoor/ClientListener.java
+++ b/src/main/java/hopdrum/frontdoor/ClientListener.java
@@ -29,6 +29,7 @@
     private static final long MIN_STALL_BEFORE_EVICTION_US = 200_000; // in the middle of a request
     // Bounds how long a burst of new clients delays the requests in flight.
     private static final int MAX_ACCEPTS_PER_EVENT = 32;
+    private static final int MAX_ACCEPT_FAILURES = 100; // in a row, at the end
 
     /** Handles the requests that clients send. */
     interface RequestListener {
@@ -64,6 +65,7 @@
     private final Set<ClientConnection> idleClients = new LinkedHashSet<>(); // longest idle first
     private boolean paused;
     private boolean draining;
+    private boolean stopsReading;
 
     /** Binds the listening socket. No connection is accepted before {@link #startAccepting()}. */
     ClientListener(EventLoop loop, SocketAddress listen, ResourceBudget budget, RequestListener requests)
@@ -265,15 +267,15 @@
 
     @Override
     public boolean closesAfterResponse(boolean moreReceived) {
-        if (moreReceived && listeningSocket.isOpen()) {
-            return false; // each request that arrives while connections are still accepted gets a response
+        if (moreReceived && !stopsReading) {
+            return false; // each request that has been read gets a response
         }
         return draining || paused; // while paused, clients reconnect per request, so that all get room
     }
 
     /**
-     * Starts the graceful shutdown: from now on a connection closes after a response, except while connections are
-     * still accepted and a further request has already arrived on it.
+     * Starts the graceful shutdown: from now on a connection closes after a response, unless a further request has
+     * already arrived on it.
      */
     void startDraining() {
         draining = true;
@@ -281,18 +283,39 @@
 
     /** Accepts the connections in the backlog, closes the listening socket, and closes idle connections. */
     void stopAccepting() {
+        acceptBacklog();
         try {
-            for (int previousCount = -1; previousCount != openClients.size() && !paused; ) {
-                previousCount = openClients.size();
-                acceptPendingConnections();
-            }
             listeningSocket.close();
         } catch (IOException e) {
-            LOG.warning("accepting the last connections or closing the listening socket failed", e.getMessage());
+            LOG.warning("closing the listening socket failed", e.getMessage());
         }
         new ArrayList<>(openClients).forEach(ClientListener::closeGracefullyIfIdle);
     }
 
+    /** Accepts until no connection is left; the system call may fail for a connection without meaning the others. */
+    private void acceptBacklog() {
+        int failures = 0;
+        for (int previousCount = -1; previousCount != openClients.size() && failures < MAX_ACCEPT_FAILURES; ) {
+            previousCount = openClients.size();
+            try {
+                acceptPendingConnections();
+            } catch (IOException e) {
+                LOG.warning("accepting the last connections failed", e.getMessage());
+                failures++;
+                previousCount = -1;
+            }
+        }
+    }
+
+    /**
+     * Ends connections on which clients keep sending: each is closed after its next response, and one without a request
+     * in flight at once, with a response to what it has begun to send.
+     */
+    void stopReading() {
+        stopsReading = true;
+        new ArrayList<>(openClients).forEach(ClientConnection::rejectIncompleteRequest);
+    }
+
     /** Adds the open client connections to a collection. */
     void collectConnections(Collection<? super ClientConnection> to) {
         to.addAll(openClients);
--- a/src/main/java/hopdrum/frontdoor/FrontDoor.java
+++ b/src/main/java/hopdrum/frontdoor/FrontDoor.java
@@ -32,7 +32,6 @@
     // After a release discovery may serve its clients one by one.
     private static final long DISCOVERY_TIMEOUT_US = 3_000_000;
     private static final long HOUSEKEEPING_INTERVAL_US = 250_000;
-    private static final long SHUTDOWN_ACCEPT_PERIOD_US = 500_000;
     private static final long SHUTDOWN_POLL_INTERVAL_US = 10_000;
     private static final long SLOW_SHUTDOWN_LOG_DELAY_US = 3_500_000;
 
@@ -45,6 +44,7 @@
     private final PolicyHost host;
     private final EndpointUpdater endpoints;
     private final DiscoveryClient discovery;
+    private final RequestHandler requestHandler;
     private final ClientListener clients;
     private Runnable discoveryLostListener = () -> {};
 
@@ -76,11 +76,8 @@
             }
         });
         discovery.start();
-        clients = new ClientListener(
-                loop,
-                config.listen(),
-                budget,
-                new RequestHandler(config, loop, host.policy(), requests, tally, fleet, endpoints));
+        requestHandler = new RequestHandler(config, loop, host.policy(), requests, tally, fleet, endpoints);
+        clients = new ClientListener(loop, config.listen(), budget, requestHandler);
         new BufferReclaimer(loop, budget.memory(), this::openConnections);
         // The timeout starts when the loop runs: the loop's clock does not advance before.
         loop.execute(() -> loop.scheduleAfter(DISCOVERY_TIMEOUT_US, this::startAccepting));
@@ -169,15 +166,19 @@
 
     /**
      * Starts the graceful shutdown: the front door reports that it is not ready, accepts connections for another 0.5 s,
-     * finishes the requests in flight, and then stops the loop.
+     * answers every request that it has read, and then stops the loop.
      */
     public void startGracefulShutdown() {
         LOG.info("stopping", requests.size() + " requests in flight");
+        ShutdownSchedule schedule =
+                ShutdownSchedule.startingAt(loop.nowUs(), config.settings().methods());
+        requestHandler.setLatestAnswerTime(schedule.latestAnswerAtUs());
         clients.startDraining();
-        loop.scheduleAfter(SHUTDOWN_ACCEPT_PERIOD_US, () -> {
+        loop.scheduleAt(schedule.stopAcceptingAtUs(), () -> {
             clients.stopAccepting();
             stopLoopOnceDrained();
         });
+        loop.scheduleAt(schedule.stopReadingAtUs(), clients::stopReading);
         loop.scheduleAfter(
                 SLOW_SHUTDOWN_LOG_DELAY_US,
                 () -> LOG.info(
--- a/src/main/java/hopdrum/frontdoor/RequestHandler.java
+++ b/src/main/java/hopdrum/frontdoor/RequestHandler.java
@@ -24,6 +24,7 @@
     private final EndpointUpdater endpoints;
     private final RequestHead head; // the head of the request that is being handled
     private final int gateways;
+    private long latestAnswerAtUs = Long.MAX_VALUE;
 
     RequestHandler(
             Config config,
@@ -44,6 +45,11 @@
                 config.methods(), config.plans(), config.settings().methods(), gateways, config.maxUnits());
     }
 
+    /** Sets a time by which requests have to be answered, whatever their clients allow. */
+    void setLatestAnswerTime(long atUs) {
+        latestAnswerAtUs = atUs;
+    }
+
     @Override
     public boolean isReady() {
         return endpoints.hasEndpoints();
@@ -52,7 +58,8 @@
     @Override
     public void requestReceived(ClientConnection client) throws MalformedMessageException {
         head.read(client.messageBuffer(), client.message());
-        long remainingUs = Math.max(1, head.timeLeftMs * 1000 - client.messageAgeUs());
+        long statedUs = head.timeLeftMs * 1000 - client.messageAgeUs();
+        long remainingUs = Math.max(1, Math.min(statedUs, latestAnswerAtUs - loop.nowUs()));
         boolean hasPartners = fleet.hasPartners();
         InFlightRequest request = requests.add(
                 client,
--- a/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
@@ -193,8 +193,15 @@
             close(ClientCloseReason.TOO_SLOW);
         } else {
             LOG.warning("rejecting an incomplete request to make room for others", null);
+            rejectIncompleteRequest(); // the request has not been forwarded, so repeating it is harmless
+        }
+    }
+
+    /** Rejects the request whose rest is awaited, if there is one, and closes the connection. */
+    public void rejectIncompleteRequest() {
+        if (awaitsRestOfMessage()) {
             cancelTimeout();
-            respond(503, 0, true); // the request has not been forwarded, so repeating it is harmless
+            respond(STATUS_REJECTED, 0, true);
         }
     }
 
--- a/src/test/java/hopdrum/frontdoor/ExcessRequestsTest.java
+++ b/src/test/java/hopdrum/frontdoor/ExcessRequestsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -83,4 +84,18 @@
         assertThat(client.receive()).startsWith("HTTP/1.1 400 ").contains("Connection: close");
         assertThat(client.receive()).isNull();
     }
+
+    @Test
+    void onSigtermRequestsBeyondTheReceiveBufferAreAnsweredBeforeTheConnectionCloses() throws Exception {
+        Client client = pipeline(longRunning(request("t%d", "order", "")), REQUESTS_BEYOND_THE_BUFFER);
+        loop.execute(frontDoor::startGracefulShutdown);
+        awaitPendingEvents();
+        release.complete(null);
+        for (int i = 0; i < REQUESTS_BEYOND_THE_BUFFER; i++) {
+            assertThat(client.receive()).matches("(?s)HTTP/1.1 (200|503) .*").doesNotContain("Connection: close");
+        }
+        assertThat(client.receive()).contains("Connection: close");
+        assertThat(client.receive()).isNull();
+        loopEnded.get(10, TimeUnit.SECONDS);
+    }
 }
--- a/src/test/java/hopdrum/frontdoor/GracefulShutdownTest.java
+++ b/src/test/java/hopdrum/frontdoor/GracefulShutdownTest.java
@@ -10,6 +10,8 @@
 /** Guards against requests and responses that are lost when a connection closes on SIGTERM or after a last response. */
 @Timeout(20)
 class GracefulShutdownTest extends FrontDoorFixture {
+    private static final long EARLIEST_KILL_NANOS = 3_700_000_000L;
+
     @Test
     void onSigtermRequestsInFlightAreFinishedAndTheLoopEnds() throws Exception {
         start();
@@ -129,4 +131,47 @@
         loopEnded.get(10, TimeUnit.SECONDS);
         assertThat(slowReader.receive()).as("the response is complete").endsWith(body + "t1");
     }
+
+    /** Guards against a request that the earliest SIGKILL, 3.7 s after SIGTERM, finds unanswered. */
+    @Test
+    void aRequestThatIsCompletedLateIsAnsweredBeforeTheEarliestKill() throws Exception {
+        backend.responder = request -> NO_RESPONSE;
+        changeSetting(
+                "\"AimUs\":2000000,\"GiveUpUs\":4000000,\"Effect\":\"fragile\"",
+                "\"AimUs\":4000000,\"GiveUpUs\":4000000,\"Effect\":\"fragile\"");
+        start();
+        String request = request("t1", "order", "");
+        Client client = new Client().send(request.substring(0, 40));
+        awaitPendingEvents();
+        long sigtermNanos = System.nanoTime();
+        loop.execute(frontDoor::startGracefulShutdown);
+        awaitLoopDelay(1_500_000);
+        assertThat(client.send(request.substring(40)).receive()).startsWith("HTTP/1.1 ");
+        assertThat(System.nanoTime() - sigtermNanos).isLessThan(EARLIEST_KILL_NANOS);
+    }
+
+    /** Guards against a client that keeps pipelining, so that its connection never closes. */
+    @Test
+    void aClientThatNeverStopsSendingGetsAResponseAndAClosedConnectionBeforeTheEarliestKill() throws Exception {
+        start();
+        Client client = new Client();
+        long sigtermNanos = System.nanoTime();
+        loop.execute(frontDoor::startGracefulShutdown);
+        runInBackground(() -> {
+            for (int i = 0; true; i++) {
+                client.send(withCustomer(i, request("t" + i, "order", ""))
+                        + withCustomer(i, request("u" + i, "order", "")));
+            }
+        });
+        int answers = 0;
+        String answer = client.receive();
+        while (answer != null && !answer.contains("Connection: close")) {
+            answers++;
+            answer = client.receive();
+        }
+        assertThat(answer).as("the last response").isNotNull();
+        assertThat(answers).isPositive();
+        loopEnded.get(10, TimeUnit.SECONDS);
+        assertThat(System.nanoTime() - sigtermNanos).isLessThan(EARLIEST_KILL_NANOS);
+    }
 }
