Reject an id that comes again after its client left, if it may have run

Cause: ids are compared with those in flight alone. When a client leaves, its request ends at once, while its backend may have executed it.

Ids of answered requests come again as before.

Result: the new test in ClientDisconnectTest failed before (200 for 409) and holds now; an id that surely did not run is forwarded, as before.

--- a/src/main/java/hopdrum/frontdoor/AttemptDispatcher.java
+++ b/src/main/java/hopdrum/frontdoor/AttemptDispatcher.java
@@ -120,7 +120,7 @@
 
     @Override
     public void attemptEnded(Attempt attempt, Outcome outcome, float[] loadReport) {
-        if (!attempt.end()) {
+        if (!attempt.end(outcome)) {
             return;
         }
         InFlightRequest request = attempt.request();
--- a/src/main/java/hopdrum/frontdoor/RequestHandler.java
+++ b/src/main/java/hopdrum/frontdoor/RequestHandler.java
@@ -10,7 +10,9 @@
 import hopdrum.frontdoor.wire.MalformedMessageException;
 import hopdrum.frontdoor.wire.RequestForwarder;
 import hopdrum.frontdoor.wire.RequestHead;
+import hopdrum.host.Method;
 import hopdrum.policy.Policy;
+import java.util.List;
 
 /** Passes client requests on to Policy and notifies Policy of clients that disconnect. */
 final class RequestHandler implements ClientListener.RequestListener {
@@ -23,6 +25,7 @@
     private final FleetSuppliers fleet;
     private final EndpointUpdater endpoints;
     private final RequestHead head; // the head of the request that is being handled
+    private final List<Method> methods;
     private final int gateways;
     private long latestAnswerAtUs = Long.MAX_VALUE;
 
@@ -41,8 +44,8 @@
         this.fleet = fleet;
         this.endpoints = endpoints;
         gateways = config.settings().gatewayCount();
-        head = new RequestHead(
-                config.methods(), config.plans(), config.settings().methods(), gateways, config.maxUnits());
+        methods = config.settings().methods();
+        head = new RequestHead(config.methods(), config.plans(), methods, gateways, config.maxUnits());
     }
 
     /** Sets a time by which requests have to be answered, whatever their clients allow. */
@@ -61,6 +64,7 @@
         long statedUs = head.timeLeftMs * 1000 - client.messageAgeUs();
         long remainingUs = Math.max(1, Math.min(statedUs, latestAnswerAtUs - loop.nowUs()));
         boolean hasPartners = fleet.hasPartners();
+        rejectRepeatOfAbandonedRequest();
         InFlightRequest request = requests.add(
                 client,
                 head.traceId,
@@ -85,6 +89,14 @@
         requests.removeIfDone(request);
     }
 
+    /** Protects a request from running twice if its id comes again after its client has left. */
+    private void rejectRepeatOfAbandonedRequest() throws MalformedMessageException {
+        boolean mayRunTwice = methods.get(head.method).retrySafety() == Method.RetrySafety.IDEMPOTENT;
+        if (!mayRunTwice && requests.mayHaveRunBefore(head.traceId, loop.nowUs())) {
+            throw new MalformedMessageException(409, "a request with the same X-Trace-Id may have been executed");
+        }
+    }
+
     @Override
     public void excessRequestRejected() {
         LOG.info("rejecting pipelined requests that exceed the receive buffer", null);
@@ -103,6 +115,7 @@
         LOG.info("a client left before its response", request.describe(loop.nowUs()));
         request.detachClient();
         tally.clientDisconnected();
+        requests.abandoned(request, loop.nowUs());
         if (request.handle() == null) {
             requests.remove(request); // Policy failed to return a handle
             return;
--- a/src/main/java/hopdrum/frontdoor/connection/Attempt.java
+++ b/src/main/java/hopdrum/frontdoor/connection/Attempt.java
@@ -1,6 +1,7 @@
 package hopdrum.frontdoor.connection;
 
 import hopdrum.frontdoor.lifecycle.EventLoop;
+import hopdrum.host.Outcome;
 
 /**
  * One attempt of a request: the request is forwarded once, to one backend over one connection. Created by {@link
@@ -15,6 +16,7 @@
     private BackendConnection connection; // null while the attempt is not assigned to one
     private EventLoop.Timer timeout;
     private boolean ended;
+    private boolean neverRan;
     private boolean responseForwarded;
 
     Attempt(InFlightRequest request, int number, long nowUs, long timeoutUs, long writeWithinUs) {
@@ -48,26 +50,34 @@
         return writeByUs;
     }
 
-    /** True once {@link #end()} has been called. */
+    /** True once {@link #end} has been called. */
     public boolean isEnded() {
         return ended;
     }
 
-    /** Schedules {@code onTimeout} for the attempt's deadline; {@link #end()} cancels it. */
+    /** Schedules {@code onTimeout} for the attempt's deadline; {@link #end} cancels it. */
     public void armTimeout(EventLoop loop, Runnable onTimeout) {
         timeout = loop.scheduleAt(deadlineUs, onTimeout);
     }
 
     /** Marks the attempt as ended and cancels its timeout. Returns false if it had already ended. */
-    public boolean end() {
+    public boolean end(Outcome outcome) {
         if (ended) {
             return false;
         }
         ended = true;
+        neverRan = outcome == Outcome.AT_CAPACITY
+                || outcome == Outcome.CONNECT_FAILED
+                || outcome == Outcome.INVALID_REQUEST;
         timeout.cancel();
         return true;
     }
 
+    /** Whether the backend may have executed the request, or may yet. */
+    boolean mayHaveRun() {
+        return !neverRan;
+    }
+
     /** Closes the connection that the attempt is assigned to, if any, without waiting for the response. */
     public void abandon() {
         if (connection != null) {
--- a/src/main/java/hopdrum/frontdoor/connection/InFlightRequest.java
+++ b/src/main/java/hopdrum/frontdoor/connection/InFlightRequest.java
@@ -97,6 +97,11 @@
         return attempt;
     }
 
+    /** Whether a backend may have executed the request in an attempt so far. */
+    boolean mayHaveRun() {
+        return attempts.stream().anyMatch(Attempt::mayHaveRun);
+    }
+
     /** The attempt with this index; null if there is none. */
     public Attempt attempt(int number) {
         return number < attempts.size() ? attempts.get(number) : null;
--- a/src/main/java/hopdrum/frontdoor/connection/InFlightRequests.java
+++ b/src/main/java/hopdrum/frontdoor/connection/InFlightRequests.java
@@ -9,6 +9,7 @@
 public final class InFlightRequests {
     private final Map<Long, InFlightRequest> byId = new HashMap<>();
     private final Set<String> traceIds = new HashSet<>(); // of the requests in byId
+    private final AbandonedIds abandonedIds = new AbandonedIds();
     private long nextId = 1;
 
     /**
@@ -33,11 +34,23 @@
         return request;
     }
 
+    /** Whether a request with this trace id was left by its client and may have been executed. */
+    public boolean mayHaveRunBefore(String traceId, long nowUs) {
+        return abandonedIds.contains(traceId, nowUs);
+    }
+
     /** The request with this id; null if it is not in flight. */
     public InFlightRequest get(long id) {
         return byId.get(id);
     }
 
+    /** Notes that a client has left before the response to its request. */
+    public void abandoned(InFlightRequest request, long nowUs) {
+        if (request.mayHaveRun()) {
+            abandonedIds.add(request.traceId(), nowUs);
+        }
+    }
+
     /** Removes the request if Policy has finished it. */
     public void removeIfDone(InFlightRequest request) {
         if (request.handle().isFinished()) {
--- a/src/test/java/hopdrum/frontdoor/ClientDisconnectTest.java
+++ b/src/test/java/hopdrum/frontdoor/ClientDisconnectTest.java
@@ -124,6 +124,33 @@
                 .isEqualTo(2);
     }
 
+    /** Guards against an id that runs twice when it comes again after its client has left. */
+    @Test
+    void aRequestThatComesAgainAfterItsClientHasLeftIsNotForwardedIfItMayHaveRun() throws Exception {
+        backend.responder = request -> NO_RESPONSE;
+        start();
+        Client client = new Client().send(request("t1", "order", ""));
+        assertThat(backend.nextRequest()).contains("t1");
+        client.socket.close();
+        assertThat(backend.closedConnections.poll(10, TimeUnit.SECONDS)).isEqualTo(1);
+        backend.responder = request -> okResponse("for " + field(request, "X-Trace-Id"));
+        assertThat(exchange(request("t1", "order", ""))).startsWith("HTTP/1.1 409 ");
+        assertThat(exchange(request("t2", "order", ""))).endsWith("for t2");
+        assertThat(backend.requests).hasSize(1);
+    }
+
+    @Test
+    void aRequestThatComesAgainAfterItsClientHasLeftIsForwardedIfItHasNotRun() throws Exception {
+        start();
+        assertThat(exchange(request("first", "order", ""))).endsWith("for first");
+        counter.responder = request -> NO_RESPONSE;
+        Client client = new Client().send(request("t1", "order", "")); // waits for the counter
+        client.socket.close();
+        awaitLoopDelay(100_000);
+        counter.responder = request -> okResponse("1");
+        assertThat(exchange(request("t1", "order", ""))).endsWith("for t1");
+    }
+
     /**
      * The end of the connection comes after bytes that do not fit into the receive buffer. A half-close is left out,
      * because it is detected only once those bytes have been read.
