--- /dev/null
+++ b/src/rig/java/hopdrum/rig/soak/SoakRecords.java
@@ -0,0 +1,80 @@
+package hopdrum.rig.soak;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/** What clients and backends have seen. Times are those of {@link System#nanoTime}. */
+final class SoakRecords {
+    /** A request of a client. Its id is unique, but for pipelined ones, which begin with the id and a dot. */
+    static final class RequestRecord {
+        final String id;
+        final boolean mayRunTwice;
+        final long sentNanos;
+        final long timeoutNanos;
+        volatile long leftNanos; // when the client has closed its connection; 0 if it has not
+
+        RequestRecord(String id, boolean mayRunTwice, long timeoutMs) {
+            this.id = id;
+            this.mayRunTwice = mayRunTwice;
+            this.sentNanos = System.nanoTime();
+            this.timeoutNanos = timeoutMs * 1_000_000;
+        }
+    }
+
+    /** An attempt that a backend has received. */
+    record AttemptRecord(String id, String backend, long firstByteNanos, long statedMs, boolean ran) {}
+
+    /** A rule that was broken, as the client that saw it describes it. */
+    record Violation(String rule, String description) {}
+
+    private final Map<String, RequestRecord> requests = new ConcurrentHashMap<>();
+    private final Queue<AttemptRecord> attempts = new ConcurrentLinkedQueue<>();
+    private final Queue<Violation> violations = new ConcurrentLinkedQueue<>();
+    private final Map<Integer, Integer> answersByStatus = new ConcurrentHashMap<>();
+
+    RequestRecord sent(String id, boolean mayRunTwice, long timeoutMs) {
+        RequestRecord request = new RequestRecord(id, mayRunTwice, timeoutMs);
+        requests.putIfAbsent(id, request);
+        return request;
+    }
+
+    /** Records that a client sends a request again after it has left; the checks of its attempts follow the repeat. */
+    RequestRecord comesAgain(String id, boolean mayRunTwice, long timeoutMs) {
+        RequestRecord request = new RequestRecord(id, mayRunTwice, timeoutMs);
+        requests.put(id, request);
+        return request;
+    }
+
+    void attempted(AttemptRecord attempt) {
+        attempts.add(attempt);
+    }
+
+    void answered(int status) {
+        answersByStatus.merge(status, 1, Integer::sum);
+    }
+
+    void violated(String rule, String description) {
+        violations.add(new Violation(rule, description));
+    }
+
+    /** The request that an attempt belongs to; null if no client has sent it. */
+    RequestRecord requestOf(AttemptRecord attempt) {
+        int dot = attempt.id.indexOf('.');
+        return requests.get(dot < 0 ? attempt.id : attempt.id.substring(0, dot));
+    }
+
+    Collection<AttemptRecord> attempts() {
+        return attempts;
+    }
+
+    Collection<Violation> violations() {
+        return violations;
+    }
+
+    Map<Integer, Integer> answersByStatus() {
+        return answersByStatus;
+    }
+}
--- a/src/rig/java/hopdrum/rig/trial/HttpStandIn.java
+++ b/src/rig/java/hopdrum/rig/trial/HttpStandIn.java
@@ -11,7 +11,7 @@
  * A stand-in for one HTTP service of the platform, on loopback. Each connection has a thread, which handles one request
  * after another.
  */
-final class HttpStandIn implements AutoCloseable {
+public final class HttpStandIn implements AutoCloseable {
     private static final int BACKLOG = 512;
 
     /**
@@ -21,9 +21,9 @@
      * @param path the request target, with its query
      * @param head the request line and the header, up to and including the empty line
      */
-    record Request(String method, String path, String head) {
+    public record Request(String method, String path, String head) {
         /** Returns the value of a header field, whose name is compared without case; empty if the field is absent. */
-        String header(String name) {
+        public String header(String name) {
             for (String line : head.split("\r\n", -1)) {
                 if (line.regionMatches(true, 0, name + ":", 0, name.length() + 1)) {
                     return line.substring(name.length() + 1).strip();
@@ -34,7 +34,7 @@
     }
 
     /** Responds to requests; called by several threads at once. */
-    interface Handler {
+    public interface Handler {
         /**
          * Writes the response to a request; may block.
          *
@@ -53,14 +53,14 @@
      * @param name the name of the service's threads
      * @throws IOException if no port can be opened
      */
-    HttpStandIn(String name, Handler handler) throws IOException {
+    public HttpStandIn(String name, Handler handler) throws IOException {
         this.handler = handler;
         this.listener = new LoopbackListener(BACKLOG);
         listener.start(name, this::serve);
     }
 
     /** Returns the loopback port on which the service accepts connections. */
-    int port() {
+    public int port() {
         return listener.port();
     }
 
@@ -96,8 +96,12 @@
         return null;
     }
 
-    /** Writes a response with status 200 and an ASCII body. */
-    static void writeOk(OutputStream out, String body) throws IOException {
+    /**
+     * Writes a response with status 200 and an ASCII body.
+     *
+     * @throws IOException if the response cannot be written
+     */
+    public static void writeOk(OutputStream out, String body) throws IOException {
         out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
                 .getBytes(StandardCharsets.US_ASCII));
         out.flush();
--- a/src/rig/java/hopdrum/rig/trial/LoopbackListener.java
+++ b/src/rig/java/hopdrum/rig/trial/LoopbackListener.java
@@ -9,7 +9,7 @@
 import java.util.function.Consumer;
 
 /** Accepts connections on a free loopback port until it is closed, and handles each in a thread of its own. */
-final class LoopbackListener implements AutoCloseable {
+public final class LoopbackListener implements AutoCloseable {
     private final ServerSocket listener;
     private final Set<Socket> openSockets = ConcurrentHashMap.newKeySet();
 
@@ -19,7 +19,7 @@
      * @param backlog the maximum number of connections that wait to be accepted
      * @throws IOException if no port can be bound
      */
-    LoopbackListener(int backlog) throws IOException {
+    public LoopbackListener(int backlog) throws IOException {
         listener = new ServerSocket(0, backlog, InetAddress.getLoopbackAddress());
     }
 
@@ -29,7 +29,7 @@
      * @param name the name of the accepting thread
      * @param connectionHandler handles one connection until its end; called in a thread of that connection
      */
-    void start(String name, Consumer<Socket> connectionHandler) {
+    public void start(String name, Consumer<Socket> connectionHandler) {
         DaemonThreads.start(name, () -> accept(name, connectionHandler));
     }
 
@@ -46,7 +46,7 @@
     }
 
     /** Returns the bound port. */
-    int port() {
+    public int port() {
         return listener.getLocalPort();
     }
 
@@ -62,12 +62,12 @@
     }
 
     /** Removes an accepted or tracked connection that has ended. */
-    void untrack(Socket socket) {
+    public void untrack(Socket socket) {
         openSockets.remove(socket);
     }
 
     /** Closes all open connections; further ones are accepted. */
-    void closeConnections() {
+    public void closeConnections() {
         openSockets.forEach(Closeables::closeQuietly);
     }
 
