An id that comes again is accepted if its backends remove duplicates

A deduplicated request whose scope is all backends may come again: they run it once. Without this exception a test that sends the same id until the counter is called (CounterOverSocketsTest) would not end once an id is kept.

--- a/src/main/java/hopdrum/frontdoor/RequestHandler.java
+++ b/src/main/java/hopdrum/frontdoor/RequestHandler.java
@@ -91,7 +91,10 @@
 
     /** Protects a request from running twice if its id comes again after its client has left. */
     private void rejectRepeatOfAbandonedRequest() throws MalformedMessageException {
-        boolean mayRunTwice = methods.get(head.method).retrySafety() == Method.RetrySafety.IDEMPOTENT;
+        Method method = methods.get(head.method);
+        boolean mayRunTwice = method.retrySafety() == Method.RetrySafety.IDEMPOTENT
+                || (method.retrySafety() == Method.RetrySafety.DEDUPLICATED
+                        && method.deduplicationScope() == Method.DeduplicationScope.ALL);
         if (!mayRunTwice && requests.mayHaveRunBefore(head.traceId, loop.nowUs())) {
             throw new MalformedMessageException(409, "a request with the same X-Trace-Id may have been executed");
         }
--- a/src/main/java/hopdrum/frontdoor/connection/InFlightRequests.java
+++ b/src/main/java/hopdrum/frontdoor/connection/InFlightRequests.java
@@ -44,7 +44,7 @@
         return byId.get(id);
     }
 
-    /** Notes that a client has left before the response to its request. */
+    /** Notes that the client of a request has left, so that its id is not accepted again if it may have run. */
     public void abandoned(InFlightRequest request, long nowUs) {
         if (request.mayHaveRun()) {
             abandonedIds.add(request.traceId(), nowUs);
