Deadlines count from when a client may have sent, not from when it was accepted

Cause: the age of a request was counted from the round of the event loop that first read it. A connection that waited in the listening socket's queue (accept failed, or accepting was paused) was new to the loop. And a selection that ended late, since the process had been held up in it, was taken for one whose bytes had just arrived.

Change: AcceptQueue tells since when a connection may have waited, and a selection that ends over 20 ms behind the time it may wait counts as late.

--- a/src/main/java/hopdrum/frontdoor/ClientListener.java
+++ b/src/main/java/hopdrum/frontdoor/ClientListener.java
@@ -57,6 +57,7 @@
     private final ResourceBudget budget;
     private final RequestListener requests;
     private final ServerSocketChannel listeningSocket;
+    private final AcceptQueue acceptQueue;
     private SelectionKey acceptKey; // null until startAccepting()
     // A connection is removed from all of these sets when it closes.
     private final Set<ClientConnection> openClients = new LinkedHashSet<>();
@@ -73,6 +74,7 @@
         this.loop = loop;
         this.budget = budget;
         this.requests = requests;
+        acceptQueue = new AcceptQueue(BACKLOG, loop.nowUs());
         listeningSocket = ServerSocketChannel.open();
         try {
             listeningSocket.configureBlocking(false);
@@ -113,13 +115,16 @@
                 pauseAccepting("no file descriptor or buffer memory left for another client");
                 return;
             }
+            acceptQueue.mayHoldSince(loop.earliestArrivalUs());
             SocketChannel channel = listeningSocket.accept();
             if (channel == null) {
+                acceptQueue.foundEmpty();
                 return;
             }
             budget.clientOpened();
+            long arrivedAtUs = acceptQueue.accepted(loop.nowUs());
             try {
-                ClientConnection client = new ClientConnection(loop, channel, budget, this);
+                ClientConnection client = new ClientConnection(loop, channel, arrivedAtUs, budget, this);
                 openClients.add(client);
                 silentClients.add(client);
             } catch (IOException e) {
@@ -197,6 +202,7 @@
         LOG.warning("paused accepting client connections", reason);
         if (!paused && acceptKey != null && acceptKey.isValid()) {
             paused = true;
+            acceptQueue.mayHoldSince(loop.nowUs());
             acceptKey.interestOps(0); // else the loop would spin on a pending connection that has no room
             loop.scheduleAfter(ACCEPT_PAUSE_US, this::resumeAccepting);
         }
--- a/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
@@ -32,14 +32,20 @@
      *
      * @param loop the event loop on which the connection is handled
      * @param channel the connected channel
+     * @param arrivedAtUs the earliest time at which the client can have connected, and sent its first message, in
+     *     microseconds of the event loop's clock
      * @param budget limits the transfer time and the memory that the connection's buffers take
      * @param listener is notified of the connection's events
      * @throws IOException if the connection has already ended
      */
     public ClientConnection(
-            EventLoop loop, SocketChannel channel, ResourceBudget budget, ClientConnectionListener listener)
+            EventLoop loop,
+            SocketChannel channel,
+            long arrivedAtUs,
+            ResourceBudget budget,
+            ClientConnectionListener listener)
             throws IOException {
-        super(loop, channel, budget);
+        super(loop, channel, arrivedAtUs, budget);
         this.listener = listener;
         this.messageTimeoutUs = budget.transferTimeoutUs();
         timeout = loop.scheduleAfter(FIRST_MESSAGE_TIMEOUT_US, this::firstMessageTimedOut);
--- a/src/main/java/hopdrum/frontdoor/connection/PipelinedRequestReader.java
+++ b/src/main/java/hopdrum/frontdoor/connection/PipelinedRequestReader.java
@@ -31,11 +31,13 @@
     private final ResourceBudget budget;
     private ExcessRequests excess; // null while all received bytes are kept
     private long messageArrivalUs; // earliest arrival of the front message's first byte; 0 without a message
+    private long firstMessageArrivalUs; // earliest arrival of the first message; MAX_VALUE once it has arrived
     private long nextMessageArrivalUs; // the same for the bytes that arrived behind the front message
     private long deferredSinceUs; // since when a complete message waits for unread bytes; 0 if none does
     private int discardedBytes; // bytes that arrived after the last response
 
-    PipelinedRequestReader(EventLoop loop, SocketChannel channel, ResourceBudget budget) throws IOException {
+    PipelinedRequestReader(EventLoop loop, SocketChannel channel, long arrivedAtUs, ResourceBudget budget)
+            throws IOException {
         super(
                 loop,
                 channel,
@@ -45,6 +47,7 @@
     }
 
     /** Whether a request is in flight, so that further messages wait for its response. */
+        this.firstMessageArrivalUs = arrivedAtUs;
     abstract boolean isAwaitingResponse();
 
     /** Whether the last response has been given, so that everything received is discarded. */
@@ -123,7 +126,8 @@
             nextMessageArrivalUs = nextMessageArrivalUs == 0 ? loop.earliestArrivalUs() : nextMessageArrivalUs;
         } else {
             if (messageArrivalUs == 0) {
-                messageArrivalUs = loop.earliestArrivalUs();
+                messageArrivalUs = Math.min(loop.earliestArrivalUs(), firstMessageArrivalUs);
+                firstMessageArrivalUs = Long.MAX_VALUE;
                 messageStarted();
             }
             handleMessages();
--- a/src/main/java/hopdrum/frontdoor/lifecycle/EventLoop.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/EventLoop.java
@@ -55,6 +55,8 @@
 
     private static final Log LOG = new Log("loop");
     private static final long MAX_IMMEDIATE_SELECT_US = 50; // a selection that takes no longer has not waited
+    private static final long MAX_TIMELY_DELAY_US = 20_000; // of a selection's end behind the time it may wait
+    private static final long MAX_EVENT_DURATION_US = 50_000; // within which other clients do not notice
     private static final long MAX_SELECT_WAIT_US = 1_000_000;
 
     private final Selector selector;
@@ -67,6 +69,7 @@
     private final long nanosAtStart = System.nanoTime();
     private long nowUs = wallClockAtStartUs;
     private long lastSelectUs = nowUs; // when the selection began; once selectorReturned is set, when it returned
+    private long requestedWaitUs; // for which the current selection may wait; 0 if it may not
     private boolean selectorReturned; // false from the start of a selection until the selector returns
     private long earliestArrivalUs = nowUs;
     private long nextSequenceNumber;
@@ -185,7 +188,8 @@
         earliestArrivalUs = lastSelectUs;
         lastSelectUs = nowUs;
         selectorReturned = false;
-        if (!afterEventTasks.isEmpty() || waitUs <= 0) {
+        requestedWaitUs = afterEventTasks.isEmpty() ? Math.max(0, waitUs) : 0;
+        if (requestedWaitUs == 0) {
             selector.selectNow(this::handleReadyChannel);
         } else {
             selector.select(this::handleReadyChannel, (waitUs + 999) / 1000);
@@ -221,14 +225,17 @@
 
     /**
      * Updates the earliest arrival time of the bytes that the current selection reports. If the selector had to wait,
-     * they have just arrived; if it returned at once, they may have arrived at any time since it last returned. Time
+     * they have just arrived; if it returned at once, they may have arrived at any time since it last returned, and so
+     * they may if it returned later than it should have, since this thread or the whole process was suspended. Time
      * limits that others count, such as a client's deadline, are taken from this time, so that work that kept this
      * thread busy does not extend them.
      */
     private void updateEarliestArrival() {
         if (!selectorReturned) {
             selectorReturned = true;
-            if (nowUs - lastSelectUs > MAX_IMMEDIATE_SELECT_US) {
+            long waitedUs = nowUs - lastSelectUs;
+            boolean wasLate = waitedUs > requestedWaitUs + MAX_TIMELY_DELAY_US;
+            if (requestedWaitUs > 0 && waitedUs > MAX_IMMEDIATE_SELECT_US && !wasLate) {
                 earliestArrivalUs = nowUs;
             }
             lastSelectUs = nowUs;
