A client that sends at full speed takes turns with all others

Cause, from the new warning: one event took 1.5 s. After the response to a message the next ones were handled within the same event, as long as any were there; so were the rejections of requests beyond the receive buffer.

--- a/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
@@ -277,7 +277,7 @@
             flush();
         }
         awaitClientReading();
-        if (!lastResponse) {
+        if (!lastResponse && !isHandlingMessages()) {
             loop.runAfterCurrentEvent(this::handleNextMessages);
         }
     }
@@ -295,7 +295,7 @@
         if (closing && !isClosed()) {
             linger(LINGER_US);
         } else if (!in.isEmpty() || hasExcess()) {
-            loop.runAfterCurrentEvent(this::handleNextMessages);
+            continueInNextRound();
         }
     }
 
--- a/src/main/java/hopdrum/frontdoor/connection/PipelinedRequestReader.java
+++ b/src/main/java/hopdrum/frontdoor/connection/PipelinedRequestReader.java
@@ -20,6 +20,7 @@
     static final int MAX_MESSAGE_BYTES = 128 << 10;
 
     private static final int MAX_PIPELINE_BYTES = 256 << 10;
+    private static final int MAX_MESSAGES_PER_EVENT = 64; // so that one fast sender does not starve the others
     // Within this time, what a client has sent before it was read is read to its end, which may tell that it has left.
     private static final long MAX_DEFERRAL_US = 250_000;
     private static final long DEFERRAL_CHECK_INTERVAL_US = 1_000;
@@ -30,10 +31,12 @@
 
     private final ResourceBudget budget;
     private ExcessRequests excess; // null while all received bytes are kept
-    private long messageArrivalUs; // earliest arrival of the front message's first byte; 0 without a message
     private long firstMessageArrivalUs; // earliest arrival of the first message; MAX_VALUE once it has arrived
+    private long messageArrivalUs; // earliest arrival of the front message's first byte; 0 without a message
     private long nextMessageArrivalUs; // the same for the bytes that arrived behind the front message
     private long deferredSinceUs; // since when a complete message waits for unread bytes; 0 if none does
+    private boolean handlingMessages;
+    private boolean continuationScheduled;
     private int discardedBytes; // bytes that arrived after the last response
 
     PipelinedRequestReader(EventLoop loop, SocketChannel channel, long arrivedAtUs, ResourceBudget budget)
@@ -44,10 +47,10 @@
                 new BufferLimits(MAX_PIPELINE_BYTES, budget.memoryFor(Purpose.INCOMING_REQUEST)),
                 new BufferLimits(HttpReader.RESPONSE_RING_BYTES, budget.memoryFor(Purpose.OUTGOING_RESPONSE)));
         this.budget = budget;
+        this.firstMessageArrivalUs = arrivedAtUs;
     }
 
     /** Whether a request is in flight, so that further messages wait for its response. */
-        this.firstMessageArrivalUs = arrivedAtUs;
     abstract boolean isAwaitingResponse();
 
     /** Whether the last response has been given, so that everything received is discarded. */
@@ -134,8 +137,22 @@
         }
     }
 
-    /** Handles messages until one is waiting for its response or is incomplete. */
+    /** Handles messages until one is waiting for its response or is incomplete, or until other events have to be. */
     private void handleMessages() {
+        if (handlingMessages) {
+            return; // the loop below goes on after the response to a message
+        }
+        handlingMessages = true;
+        boolean allHandled = handleNextMessagesOfEvent();
+        handlingMessages = false;
+        if (allHandled) {
+            answerExcessRequests();
+        }
+    }
+
+    /** Returns false if a message is incomplete or has to be handled later. */
+    private boolean handleNextMessagesOfEvent() {
+        int handled = 0;
         try {
             while (!isAwaitingResponse() && !isClosing() && !isClosed() && !in.isEmpty()) {
                 boolean isComplete = reader.read(in);
@@ -144,17 +161,32 @@
                 }
                 if (!isComplete) {
                     awaitRestOfMessage();
-                    return;
+                    return false;
                 }
                 if (isDeferred()) {
-                    return;
+                    return false;
+                }
+                if (handled++ == MAX_MESSAGES_PER_EVENT) {
+                    continueInNextRound();
+                    return false;
                 }
                 messageComplete();
             }
         } catch (MalformedMessageException e) {
             messageMalformed(e);
         }
-        answerExcessRequests();
+        return true;
+    }
+
+    /** Goes on with the next messages after other connections have had their turn. */
+    final void continueInNextRound() {
+        if (!continuationScheduled) {
+            continuationScheduled = true;
+            loop.scheduleAfter(1, () -> {
+                continuationScheduled = false;
+                handleNextMessages();
+            });
+        }
     }
 
     private void awaitRestOfMessage() throws MalformedMessageException {
@@ -277,6 +309,11 @@
         freeExcess();
     }
 
+    /** Whether messages are being handled, so that the next one follows by itself. */
+    final boolean isHandlingMessages() {
+        return handlingMessages;
+    }
+
     /** Handles the messages that have arrived behind one whose response has been buffered. */
     final void handleNextMessages() {
         if (!isClosed() && !isAwaitingResponse() && !isClosing()) {
--- a/src/main/java/hopdrum/frontdoor/lifecycle/EventLoop.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/EventLoop.java
@@ -208,7 +208,11 @@
     }
 
     private void updateClock() {
-        nowUs = wallClockAtStartUs + (System.nanoTime() - nanosAtStart) / 1000;
+        nowUs = currentTimeUs();
+    }
+
+    private long currentTimeUs() {
+        return wallClockAtStartUs + (System.nanoTime() - nanosAtStart) / 1000;
     }
 
     private void handleReadyChannel(SelectionKey key) {
@@ -218,9 +222,20 @@
         try {
             handler.channelReady(key);
         } catch (IOException | RuntimeException e) {
-            runWithAfterEventTasks(() -> handler.channelFailed(e));
+            runLoggingExceptions(() -> handler.channelFailed(e));
         }
         runAfterEventTasks();
+        checkDuration(nowUs, handler);
+    }
+
+    /** Logs that an event has kept all others waiting. */
+    private void checkDuration(long startUs, Object handler) {
+        long tookUs = currentTimeUs() - startUs;
+        if (tookUs > MAX_EVENT_DURATION_US) {
+            LOG.warning(
+                    "handling an event took long",
+                    tookUs / 1000 + " ms, " + handler.getClass().getName());
+        }
     }
 
     /**
@@ -243,8 +258,10 @@
     }
 
     private void runWithAfterEventTasks(Runnable task) {
+        long startUs = currentTimeUs();
         runLoggingExceptions(task);
         runAfterEventTasks();
+        checkDuration(startUs, task);
     }
 
     private void runAfterEventTasks() {
