--- a/src/rig/java/hopdrum/rig/soak/SoakRun.java
+++ b/src/rig/java/hopdrum/rig/soak/SoakRun.java
@@ -33,6 +33,7 @@
     private final Map<String, Double> totals = new ConcurrentHashMap<>(); // of the counter, by name
     private final List<AutoCloseable> standIns = new ArrayList<>();
     private final List<Thread> clients = new ArrayList<>();
+    private final LatenessMonitor lateness = new LatenessMonitor();
     private long peakMemoryKib;
 
     SoakRun(SoakPlan plan, Path home, Path folder, SyscallShim shim) {
@@ -64,6 +65,7 @@
         for (Thread client : clients) {
             client.join(plan.deadlineMs() + 1000L);
         }
+        lateness.close();
         SoakChecker.check(records);
         return describe(counts);
     }
@@ -192,6 +194,8 @@
                 .append(records.attempts().size())
                 .append(" peak_kib=")
                 .append(peakMemoryKib)
+                .append(" rig_late_ms=")
+                .append(lateness.maxLateMillis())
                 .append(" faults: ")
                 .append(SyscallShim.describeCounts(counts));
         records.violations().stream()
