--- a/review/src-2/review2/FrontDoor.java
+++ b/review/src-2/review2/FrontDoor.java
@@ -120,13 +120,13 @@
         return String.join("\n", lines);
     }
 
-    /** A request of a client, in the form that the protocol page shows. */
+    /** A request in the form that the protocol page shows: GET, or with a body of 0 bytes or more POST without a key. */
     static byte[] request(String id, String method, long customer, String plan, long timeMs, int bodyBytes) {
         boolean get = bodyBytes < 0;
         return Http.bytes((get ? "GET" : "POST") + " /api HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: " + id
                 + "\r\nX-Qos: " + method + "\r\nPlan: " + plan + "\r\nCookie: key=" + String.format("%016x", customer)
                 + "\r\nX-Expires-In-Ms: " + timeMs + "\r\n"
-                + (get ? "" : "Idempotency-Key: k" + id + "\r\nContent-Length: " + bodyBytes + "\r\n")
+                + (get ? "" : "Content-Length: " + bodyBytes + "\r\n")
                 + "Quota-Info: units=1,spread=1,first=0\r\n\r\n" + (get ? "" : "x".repeat(bodyBytes)));
     }
 }
