A client that sends on after its last response can read what it is owed

Cause: once 128 KiB had arrived after the last response, the connection was closed at once. A close over unread bytes resets the connection, and with the reset go the responses that the kernel still holds for a client that reads more slowly than it sends.

Now the connection stops reading there, which holds the sender up, and lingers for 200 ms more before it closes.

--- a/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
@@ -17,7 +17,7 @@
     private static final int MAX_BUFFERED_REJECTION_BYTES = 16 << 10;
     private static final long READ_RESPONSE_TIMEOUT_US = 10_000_000; // enough for a client to read a long response
     private static final long LINGER_US = 1_000_000; // after the last response, which may reach the client late
-    private static final long IDLE_LINGER_US = 200_000; // enough for a message that was sent before the close
+    private static final long SHORT_LINGER_US = 200_000; // enough for a message that was sent before the close
     private static final long FIRST_MESSAGE_TIMEOUT_US = 2_000_000;
     private final ClientConnectionListener listener;
     private final long messageTimeoutUs;
@@ -25,6 +25,7 @@
     private EventLoop.Timer timeout; // of the transfer that the connection waits for; null if there is none
     private long idleSinceUs;
     private boolean closing; // whether the last response is buffered or written, or the connection lingers
+    private boolean sendsAfterLastResponse; // so much that it is no longer read
     private ClientCloseReason closeReason = ClientCloseReason.SHUTDOWN;
 
     /**
@@ -133,8 +134,13 @@
 
     @Override
     void bytesDiscarded(int totalBytes) {
-        if (totalBytes > MAX_MESSAGE_BYTES) {
-            close(ClientCloseReason.SENT_AFTER_LAST_RESPONSE);
+        if (totalBytes > MAX_MESSAGE_BYTES && !sendsAfterLastResponse) {
+            sendsAfterLastResponse = true;
+            suspendReading(); // a close over unread bytes resets the connection, so the client has to read before it
+            if (out.isEmpty()) {
+                cancelTimeout();
+                timeout = loop.scheduleAfter(SHORT_LINGER_US, this::lingerEnded);
+            }
         }
     }
 
@@ -293,7 +299,7 @@
     protected void outputDrained() {
         cancelTimeout();
         if (closing && !isClosed()) {
-            linger(LINGER_US);
+            linger(sendsAfterLastResponse ? SHORT_LINGER_US : LINGER_US);
         } else if (!in.isEmpty() || hasExcess()) {
             continueInNextRound();
         }
@@ -304,7 +310,7 @@
         cancelTimeout();
         closing = true;
         listener.connectionBusy(this);
-        linger(IDLE_LINGER_US);
+        linger(SHORT_LINGER_US);
     }
 
     /**
@@ -315,11 +321,15 @@
         endSending();
         if (!isClosed()) {
             idleSinceUs = loop.nowUs();
-            timeout = loop.scheduleAfter(maxLingerUs, () -> close(ClientCloseReason.LINGER_ENDED));
+            timeout = loop.scheduleAfter(maxLingerUs, this::lingerEnded);
             listener.connectionLingering(this);
         }
     }
 
+    private void lingerEnded() {
+        close(sendsAfterLastResponse ? ClientCloseReason.SENT_AFTER_LAST_RESPONSE : ClientCloseReason.LINGER_ENDED);
+    }
+
     /**
      * Whether no request is in flight, no bytes are buffered in either direction, and the connection is not closing.
      */
--- a/src/test/java/hopdrum/frontdoor/ExcessRequestsTest.java
+++ b/src/test/java/hopdrum/frontdoor/ExcessRequestsTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
@@ -12,6 +13,9 @@
 @Timeout(30)
 class ExcessRequestsTest extends FrontDoorFixture {
     private static final int REQUESTS_BEYOND_THE_BUFFER = 3000;
+    private static final int MANY_REQUESTS_BEYOND_THE_BUFFER =
+            30_000; // whose responses exceed a client's socket buffer
+    private static final int BYTES_AFTER_THE_LAST_REQUEST = 1 << 20;
     private final CompletableFuture<Void> release = new CompletableFuture<>();
 
     @BeforeEach
@@ -24,6 +28,10 @@
         return request.replace("X-Expires-In-Ms: 4000", "X-Expires-In-Ms: 60000");
     }
 
+    private static String expired(String request) {
+        return request.replace("X-Expires-In-Ms: 4000", "X-Expires-In-Ms: 1");
+    }
+
     /** Sends one request that is held at the backend, and many behind it. */
     private Client pipeline(String requestBehind, int count) throws Exception {
         start();
@@ -98,4 +106,22 @@
         assertThat(client.receive()).isNull();
         loopEnded.get(10, TimeUnit.SECONDS);
     }
+
+    /** Guards against a client that sends on after its last response and loses those that it has not read yet. */
+    @Test
+    void aClientThatSendsOnAfterItsLastResponseCanReadAllResponses() throws Exception {
+        Client client = pipeline(expired(request("t%d", "order", "")), MANY_REQUESTS_BEYOND_THE_BUFFER);
+        client.send(longRunning(request("last", "order", "Connection: close\r\n")));
+        release.complete(null);
+        awaitLoopDelay(300_000); // until all responses are written to the socket
+        CompletableFuture<Void> sent = new CompletableFuture<>();
+        runInBackground(() -> {
+            client.send("x".repeat(BYTES_AFTER_THE_LAST_REQUEST));
+            sent.complete(null);
+        });
+        sent.get(10, TimeUnit.SECONDS);
+        String responses = new String(client.socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        assertThat(responses.split("HTTP/1.1 ", -1)).hasSize(1 + 1 + MANY_REQUESTS_BEYOND_THE_BUFFER + 1);
+        assertThat(responses.substring(responses.lastIndexOf("HTTP/1.1 "))).contains("Connection: close");
+    }
 }
