--- a/src/main/java/hopdrum/frontdoor/AttemptDispatcher.java
+++ b/src/main/java/hopdrum/frontdoor/AttemptDispatcher.java
@@ -52,7 +52,7 @@
         Attempt attempt = request.addAttempt(loop.nowUs(), timeoutUs, writeWithinUs);
         attempt.armTimeout(loop, () -> attemptTimedOut(attempt));
         ConnectionPool pool = directory.get(backendId);
-        if (request.client() == null || request.client().hasPeerLeft() || pool == null) {
+        if (pool == null || clientMayHaveLeft(request)) {
             tally.attemptNotSent();
             loop.runAfterCurrentEvent(() -> attemptEnded(attempt, Outcome.INVALID_REQUEST, NO_LOAD_REPORT));
             return;
@@ -70,6 +70,14 @@
         }
     }
 
+    private boolean clientMayHaveLeft(InFlightRequest request) {
+        if (request.client() != null && !request.client().mayHaveLeft()) {
+            return false;
+        }
+        LOG.info("an attempt is not sent, since its client may have left", request.describe(loop.nowUs()));
+        return true;
+    }
+
     /** Opens a new connection and adds it to the pool; returns null if the resource budget has no room for one. */
     private BackendConnection openConnection(ConnectionPool pool) throws IOException {
         if (!budget.hasRoomForBackend()) {
--- a/src/main/java/hopdrum/frontdoor/ClientListener.java
+++ b/src/main/java/hopdrum/frontdoor/ClientListener.java
@@ -40,6 +40,12 @@
          */
         void requestReceived(ClientConnection client) throws MalformedMessageException;
 
+        /**
+         * The longest time, in microseconds, for which the complete request at the front of the client's receive buffer
+         * may wait until it is known whether the client has left; 0 or less if it may not wait.
+         */
+        long maxDeferralUs(ClientConnection client);
+
         /** Called when a client has disconnected while its request was in flight. */
         void clientDisconnected(ClientConnection client);
 
@@ -229,6 +235,11 @@
         }
     }
 
+    @Override
+    public long maxDeferralUs(ClientConnection client) {
+        return RequestHead.isReadinessCheck(client.messageBuffer()) ? 0 : requests.maxDeferralUs(client);
+    }
+
     @Override
     public void connectionIdle(ClientConnection client) {
         idleClients.add(client);
--- a/src/main/java/hopdrum/frontdoor/RequestHandler.java
+++ b/src/main/java/hopdrum/frontdoor/RequestHandler.java
@@ -58,6 +58,18 @@
         return endpoints.hasEndpoints();
     }
 
+    /** Leaves the request half of the time that its client still allows. */
+    @Override
+    public long maxDeferralUs(ClientConnection client) {
+        try {
+            head.read(client.messageBuffer(), client.message());
+            long timeLeftUs = head.timeLeftMs * 1000 - client.messageAgeUs();
+            return Math.min(timeLeftUs / 2, latestAnswerAtUs - loop.nowUs());
+        } catch (MalformedMessageException e) {
+            return 0;
+        }
+    }
+
     @Override
     public void requestReceived(ClientConnection client) throws MalformedMessageException {
         head.read(client.messageBuffer(), client.message());
--- a/src/main/java/hopdrum/frontdoor/connection/BackendConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/BackendConnection.java
@@ -141,8 +141,9 @@
         if (attempt == null) {
             return;
         }
-        if (attempt.request().client() == null) {
-            endUnsentAttempt(Outcome.INVALID_REQUEST); // the client has disconnected or already has a response
+        ClientConnection client = attempt.request().client();
+        if (client == null || client.mayHaveLeft()) {
+            endUnsentAttempt(Outcome.INVALID_REQUEST); // the client may have disconnected, or already has a response
         } else if (loop.nowUs() >= attempt.writeByUs() || !pool.acceptsAttempts()) {
             endUnsentAttempt(Outcome.CONNECT_FAILED);
         } else if (!writeRequest()) {
--- a/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/ClientConnection.java
@@ -79,6 +79,11 @@
         listener.connectionBusy(this);
     }
 
+    @Override
+    long maxDeferralUs() {
+        return listener.maxDeferralUs(this);
+    }
+
     @Override
     void messageComplete() throws MalformedMessageException {
         cancelTimeout();
--- a/src/main/java/hopdrum/frontdoor/connection/ClientConnectionListener.java
+++ b/src/main/java/hopdrum/frontdoor/connection/ClientConnectionListener.java
@@ -12,6 +12,12 @@
      */
     void messageReceived(ClientConnection client) throws MalformedMessageException;
 
+    /**
+     * The longest time, in microseconds, for which the complete message at the front of the receive buffer may wait
+     * until it is known whether its client has left; 0 or less if it may not wait.
+     */
+    long maxDeferralUs(ClientConnection client);
+
     /** Called when all received messages are handled and no request is in flight on the connection. */
     void connectionIdle(ClientConnection client);
 
--- a/src/main/java/hopdrum/frontdoor/connection/PipelinedRequestReader.java
+++ b/src/main/java/hopdrum/frontdoor/connection/PipelinedRequestReader.java
@@ -22,21 +22,20 @@
     private static final int MAX_PIPELINE_BYTES = 256 << 10;
     private static final int MAX_BACKLOG_READS_PER_EVENT = 4;
     private static final int MAX_MESSAGES_PER_EVENT = 64; // so that one fast sender does not starve the others
-    // Within this time, what a client has sent before it was read is read to its end, which may tell that it has left.
-    private static final long MAX_DEFERRAL_US = 250_000;
     private static final long DEFERRAL_CHECK_INTERVAL_US = 1_000;
-    private static final long BACKLOG_PAUSE_US = 2_000; // longer than the kernel takes to pass on the next part
+    private static final long MIN_DEFERRAL_US = 2_000; // for a client that sends without a pause
 
     /** Reads the message at the front of the receive buffer. */
     final HttpReader reader = new HttpReader(HttpReader.Kind.REQUEST);
 
     private final ResourceBudget budget;
+    private final PeerPresence presence;
     private ExcessRequests excess; // null while all received bytes are kept
     private long firstMessageArrivalUs; // earliest arrival of the first message; MAX_VALUE once it has arrived
     private long messageArrivalUs; // earliest arrival of the front message's first byte; 0 without a message
     private long nextMessageArrivalUs; // the same for the bytes that arrived behind the front message
-    private long lastReceivedUs;
-    private long deferredSinceUs; // since when a complete message waits for unread bytes; 0 if none does
+    private long deferredUntilUs; // until when a complete message may wait for unread bytes; 0 if none does
+    private boolean deferralCheckScheduled;
     private int backlogReads; // that have followed another in the current event
     private boolean handlingMessages;
     private boolean continuationScheduled;
@@ -51,6 +50,7 @@
                 new BufferLimits(HttpReader.RESPONSE_RING_BYTES, budget.memoryFor(Purpose.OUTGOING_RESPONSE)));
         this.budget = budget;
         this.firstMessageArrivalUs = arrivedAtUs;
+        this.presence = new PeerPresence(arrivedAtUs);
     }
 
     /** Whether a request is in flight, so that further messages wait for its response. */
@@ -62,6 +62,12 @@
     /** Called when the first bytes of a message have arrived on an idle connection. */
     abstract void messageStarted();
 
+    /**
+     * The longest time, in microseconds, for which the message at the front of the receive buffer may wait until it is
+     * known whether its client has left; 0 if it may not wait.
+     */
+    abstract long maxDeferralUs();
+
     /** Called when a complete message is at the front of the receive buffer. */
     abstract void messageComplete() throws MalformedMessageException;
 
@@ -113,6 +119,24 @@
         return in.size() > reader.messageTo() || excess != null;
     }
 
+    /**
+     * Reads what has arrived and returns whether the client has left, or may have left longer ago than an attempt for
+     * it may begin. May be called while Policy is calling a method of its Host.
+     */
+    public final boolean mayHaveLeft() {
+        return hasPeerLeft() || presence.mayHaveLeft(loop.nowUs());
+    }
+
+    @Override
+    protected final void readObserved(int count, boolean foundEmpty) {
+        if (count > 0) {
+            presence.bytesReceived(count, loop.earliestArrivalUs(), loop.nowUs());
+        }
+        if (foundEmpty) {
+            presence.foundEmpty(loop.nowUs());
+        }
+    }
+
     @Override
     protected final RingBuffer receiveBuffer() {
         return excess == null ? in : excess.buffer();
@@ -120,7 +144,6 @@
 
     @Override
     protected final void bytesReceived() {
-        lastReceivedUs = loop.nowUs();
         if (isClosing()) {
             discardedBytes += in.size();
             in.skip(in.size());
@@ -210,43 +233,76 @@
             throw new MalformedMessageException(413, "the message exceeds the receive buffer");
         }
         messageIncomplete();
+        awaitMemoryForRest();
+    }
+
+    private void awaitMemoryForRest() {
         awaitReceiveMemory(reader.missingBytes(in));
+        if (isAwaitingMemory()) {
+            presence.readingSuspended(loop.nowUs());
+        }
     }
 
     /**
-     * Whether a complete message has to wait until what the client has sent behind it has been read. The kernel passes
-     * on a long backlog in parts, so a pause in it is not its end.
+     * Whether a complete message has to wait until what the client has sent behind it has been read, which may tell
+     * that it has left.
      */
     private boolean isDeferred() {
-        boolean hasBacklog = !isDrained() || in.size() > reader.messageTo();
-        if (deferredSinceUs == 0 && !hasBacklog) {
-            return false;
+        if (deferredUntilUs == 0) {
+            return mayHaveMoreToRead() && (hasPeerLeft() || startDeferral());
         }
-        long nowUs = loop.nowUs();
-        long waitedUs = deferredSinceUs == 0 ? 0 : nowUs - deferredSinceUs;
-        if (nowUs - lastReceivedUs >= BACKLOG_PAUSE_US || waitedUs >= MAX_DEFERRAL_US) {
-            deferredSinceUs = 0;
+        if (isKnownPresent() || loop.nowUs() >= deferredUntilUs) {
+            deferredUntilUs = 0;
+        }
+        return deferredUntilUs != 0;
+    }
+
+    private boolean mayHaveMoreToRead() {
+        return !isKnownPresent() && (!isDrained() || hasReceivedMore() || presence.mayHaveLeft(loop.nowUs()));
+    }
+
+    private boolean isKnownPresent() {
+        return presence.isQuiet() || (presence.isCertain() && messageAgeUs() >= MIN_DEFERRAL_US);
+    }
+
+    /** Returns false if a message need not or must not wait. */
+    private boolean startDeferral() {
+        long deferralUs = mayHaveMoreToRead() ? maxDeferralUs() : 0;
+        if (deferralUs <= 0) {
             return false;
         }
-        if (deferredSinceUs == 0) {
-            deferredSinceUs = nowUs;
+        deferredUntilUs = loop.nowUs() + deferralUs;
+        scheduleDeferralCheck();
+        return true;
+    }
+
+    private void scheduleDeferralCheck() {
+        if (!deferralCheckScheduled) {
+            deferralCheckScheduled = true;
             loop.scheduleAfter(DEFERRAL_CHECK_INTERVAL_US, this::checkDeferral);
         }
-        return true;
     }
 
     private void checkDeferral() {
-        if (deferredSinceUs != 0 && !isClosed()) {
+        deferralCheckScheduled = false;
+        if (isDeferring()) {
             readNow();
         }
-        if (deferredSinceUs != 0 && !isClosed()) {
+        if (isDeferring() && !presence.isEmpty()) {
+            readNow(); // a client that sends little by little is found empty in between
+        }
+        if (isDeferring()) {
             handleMessages();
         }
-        if (deferredSinceUs != 0 && !isClosed()) {
-            loop.scheduleAfter(DEFERRAL_CHECK_INTERVAL_US, this::checkDeferral);
+        if (isDeferring()) {
+            scheduleDeferralCheck();
         }
     }
 
+    private boolean isDeferring() {
+        return deferredUntilUs != 0 && !isClosing() && !isClosed();
+    }
+
     @Override
     protected final boolean mayReceiveBufferGrow() {
         return excess != null || !reader.isComplete() || !budget.memory().isLow();
@@ -258,7 +314,7 @@
             return;
         }
         if (!reader.isComplete()) {
-            awaitReceiveMemory(reader.missingBytes(in));
+            awaitMemoryForRest();
         } else if (excess == null) {
             excess = ExcessRequests.takeIncomplete(in, reader.messageTo(), budget.memoryFor(Purpose.CONTROL));
         }
--- a/src/main/java/hopdrum/frontdoor/lifecycle/SocketCalls.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/SocketCalls.java
@@ -18,6 +18,9 @@
     /** Returned by {@link #read} at the end of the stream. */
     static final int END_OF_STREAM = -1;
 
+    /** Returned by {@link #read} if the call failed for the moment, so that bytes or the end may be waiting. */
+    static final int READ_FAILED = -2;
+
     // As the C library words ENOMEM, ENOBUFS and EINTR; the exceptions carry no number.
     private static final List<String> TRANSIENT_ERRORS =
             List.of("Cannot allocate memory", "No buffer space available", "Interrupted system call");
@@ -47,13 +50,17 @@
         }
     }
 
-    /** Returns the number of bytes read, 0 if there are none for the moment, or {@link #END_OF_STREAM}. */
+    /**
+     * Returns the number of bytes read, 0 if there are none for the moment, {@link #END_OF_STREAM} or {@link
+     * #READ_FAILED}.
+     */
     static int read(SocketChannel channel, ByteBuffer into) throws IOException {
         try {
             int count = channel.read(into);
-            return count < END_OF_STREAM ? 0 : count;
+            return count < END_OF_STREAM ? READ_FAILED : count;
         } catch (IOException e) {
-            return zeroIfTransient(e);
+            throwUnlessTransient(e);
+            return READ_FAILED;
         }
     }
 
@@ -62,7 +69,8 @@
         try {
             return Math.max(0, channel.write(from));
         } catch (IOException e) {
-            return zeroIfTransient(e);
+            throwUnlessTransient(e);
+            return 0;
         }
     }
 
@@ -85,10 +93,9 @@
         }
     }
 
-    private static int zeroIfTransient(IOException e) throws IOException {
-        if (TRANSIENT_ERRORS.contains(e.getMessage())) {
-            return 0;
+    private static void throwUnlessTransient(IOException e) throws IOException {
+        if (!TRANSIENT_ERRORS.contains(e.getMessage())) {
+            throw e;
         }
-        throw e;
     }
 }
--- a/src/main/java/hopdrum/frontdoor/lifecycle/StreamConnection.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/StreamConnection.java
@@ -108,6 +108,14 @@
         return true;
     }
 
+    /**
+     * Called after each read, before {@link #bytesReceived}.
+     *
+     * @param count the number of bytes that were read
+     * @param foundEmpty whether the read has found neither further bytes nor the end of the stream
+     */
+    protected void readObserved(int count, boolean foundEmpty) {}
+
     /** Whether the last read has taken all bytes that had arrived. */
     protected final boolean isDrained() {
         return drained;
@@ -266,6 +274,7 @@
     private boolean readAvailable() throws IOException {
         RingBuffer buffer = receiveBuffer();
         int sizeBefore = buffer.size();
+        boolean foundEmpty = false;
         drained = false;
         memoryDenied = false;
         while (buffer.size() - sizeBefore < MAX_READ_BYTES) {
@@ -281,12 +290,14 @@
             int count = SocketCalls.read(channel, space);
             buffer.advanceEnd(Math.max(0, count));
             inputEnded = count == SocketCalls.END_OF_STREAM;
-            drained = count < capacity;
-            if (drained) {
+            drained = count != SocketCalls.READ_FAILED && count < capacity;
+            foundEmpty = count == 0;
+            if (count < capacity) {
                 break;
             }
         }
         boolean received = buffer.size() > sizeBefore;
+        readObserved(buffer.size() - sizeBefore, foundEmpty);
         lastProgressUs = received ? loop.nowUs() : lastProgressUs;
         return received;
     }
--- a/src/test/java/hopdrum/frontdoor/ClientLimitsTest.java
+++ b/src/test/java/hopdrum/frontdoor/ClientLimitsTest.java
@@ -37,6 +37,11 @@
                         throw new AssertionError("no complete request was sent");
                     }
 
+                    @Override
+                    public long maxDeferralUs(ClientConnection client) {
+                        throw new AssertionError("no complete request was sent");
+                    }
+
                     @Override
                     public void clientDisconnected(ClientConnection client) {
                         throw new AssertionError("no request was accepted");
--- a/src/test/java/hopdrum/frontdoor/DisconnectBehindUnreadBytesTest.java
+++ b/src/test/java/hopdrum/frontdoor/DisconnectBehindUnreadBytesTest.java
@@ -23,6 +23,8 @@
     private static final long DETECTION_LIMIT_US = 100_000;
     private static final int BYTES_THAT_FIT_INTO_THE_RECEIVE_BUFFER = 100_000;
     private static final int PIPELINE_BYTES = 1 << 20;
+    private static final int SLOW_ROUND_MS = 40;
+    private static final long BACKLOG_READ_LIMIT_US = 3_000_000; // far more than the backlog takes, in slow rounds too
 
     /** How a client disconnects. */
     enum Disconnect {
@@ -138,4 +140,66 @@
         awaitLoopDelay(2 * DETECTION_LIMIT_US);
         assertThat(backend.requests).hasSize(1).allMatch(request -> request.contains("first"));
     }
+
+    /** Makes each round of the event loop take so long that a backlog is read over many rounds. */
+    private void slowDownLoop(long roundMs) {
+        loop.execute(() -> repeatSlowTask(roundMs));
+    }
+
+    private void repeatSlowTask(long roundMs) {
+        try {
+            Thread.sleep(roundMs);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        loop.scheduleAfter(1, () -> repeatSlowTask(roundMs));
+    }
+
+    /** Guards against requests that are sent although the backlog behind them, and the close, took long to read. */
+    @Test
+    void aRequestIsNotForwardedIfTheBacklogBehindItIsReadSlowly() throws Exception {
+        start();
+        assertThat(exchange(request("first", "order", ""))).endsWith("for first");
+        slowDownLoop(SLOW_ROUND_MS);
+        PipeliningClient client = new PipeliningClient(request("t0", "order", ""));
+        int sent = client.sendPipelined(PIPELINE_BYTES);
+        client.disconnect(Disconnect.CLOSE);
+        awaitLoopDelay(BACKLOG_READ_LIMIT_US);
+        assertThat(backend.requests)
+                .as("attempts with a client that has left behind " + sent + " bytes")
+                .hasSize(1)
+                .allMatch(request -> request.contains("first"));
+    }
+
+    /** Guards against retries for a client that has left while the backlog behind its request is still being read. */
+    @Test
+    void aRequestIsNotRetriedWhileABacklogIsReadBehindWhichItsClientMayHaveLeft() throws Exception {
+        CompletableFuture<Void> release = new CompletableFuture<>();
+        StandIn secondBackend = startWithBackendsThatTurnAway(release);
+        PipeliningClient client = new PipeliningClient(request("t0", "order", ""));
+        while (backend.requests.isEmpty() && secondBackend.requests.isEmpty()) {
+            awaitPendingEvents();
+        }
+        slowDownLoop(SLOW_ROUND_MS);
+        client.sendPipelined(PIPELINE_BYTES);
+        client.disconnect(Disconnect.CLOSE);
+        awaitLoopDelay(2 * DETECTION_LIMIT_US);
+        release.complete(null);
+        awaitLoopDelay(BACKLOG_READ_LIMIT_US);
+        assertThat(backend.requests.size() + secondBackend.requests.size())
+                .as("attempts for the client")
+                .isEqualTo(1);
+    }
+
+    /** Guards against requests of clients that stay and are not served since they have sent much. */
+    @Test
+    void aRequestWithALongBacklogBehindItIsServedIfItsClientStays() throws Exception {
+        start();
+        assertThat(exchange(request("first", "order", ""))).endsWith("for first");
+        slowDownLoop(SLOW_ROUND_MS);
+        PipeliningClient client = new PipeliningClient(request("t0", "order", ""));
+        client.sendPipelined(PIPELINE_BYTES);
+        assertThat(backend.nextRequest()).contains("first");
+        assertThat(backend.nextRequest()).contains("t0");
+    }
 }
