--- a/src/main/java/hopdrum/frontdoor/lifecycle/EventLoop.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/EventLoop.java
@@ -5,8 +5,8 @@
 import java.nio.channels.Selector;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.PriorityQueue;
 import java.util.Queue;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 /**
@@ -28,11 +28,11 @@
         void channelFailed(Exception e);
     }
 
-    /** A task that runs at a set time. A cancelled timer stays in the queue until it would be the next to run. */
-    public static final class Timer implements Comparable<Timer> {
+    /** A task that runs at a set time. */
+    public final class Timer implements Comparable<Timer> {
         private final long dueUs;
         private final long sequenceNumber; // orders timers that are due at the same time
-        private Runnable task; // null once the timer is cancelled
+        private final Runnable task;
 
         private Timer(long dueUs, long sequenceNumber, Runnable task) {
             this.dueUs = dueUs;
@@ -42,7 +42,7 @@
 
         /** Cancels the timer; no effect if its task has already run. */
         public void cancel() {
-            task = null;
+            timers.remove(this);
         }
 
         @Override
@@ -60,7 +60,7 @@
     private static final long MAX_SELECT_WAIT_US = 1_000_000;
 
     private final Selector selector;
-    private final PriorityQueue<Timer> timers = new PriorityQueue<>(); // a timer leaves the queue when it is due
+    private final TreeSet<Timer> timers = new TreeSet<>(); // a timer is removed when it is due or cancelled
     private final Deque<Runnable> afterEventTasks = new ArrayDeque<>(); // emptied after each event
     private final Queue<Runnable> submittedTasks = new ConcurrentLinkedQueue<>(); // emptied after each selection
     // The loop's clock starts at the wall clock's time, since counter names and the times in the endpoint list are
@@ -158,32 +158,21 @@
      */
     public void run() throws IOException {
         while (!stopped) {
-            removeCancelledTimers();
             select();
             for (Runnable task = submittedTasks.poll(); task != null; task = submittedTasks.poll()) {
                 runWithAfterEventTasks(task);
             }
-            while (!timers.isEmpty() && timers.peek().dueUs <= nowUs) {
-                Runnable task = timers.poll().task;
-                if (task != null) {
-                    runWithAfterEventTasks(task);
-                }
+            while (!timers.isEmpty() && timers.first().dueUs <= nowUs) {
+                runWithAfterEventTasks(timers.pollFirst().task);
             }
         }
     }
 
-    /** Removes cancelled timers at the head of the queue, so that the loop does not wake up for them. */
-    private void removeCancelledTimers() {
-        while (!timers.isEmpty() && timers.peek().task == null) {
-            timers.poll();
-        }
-    }
-
     private void select() throws IOException {
         long waitUs = MAX_SELECT_WAIT_US;
         if (!timers.isEmpty()) {
             updateClock();
-            waitUs = timers.peek().dueUs - nowUs;
+            waitUs = timers.first().dueUs - nowUs;
         }
         earliestArrivalUs = lastSelectUs;
         lastSelectUs = nowUs;
--- a/src/main/java/hopdrum/policy/Dispatcher.java
+++ b/src/main/java/hopdrum/policy/Dispatcher.java
@@ -59,7 +59,7 @@
     /** Queues an admitted request until a backend of its tier has capacity. */
     void enqueue(TrackedRequest request) {
         tier(request.tier).queue.add(request);
-        context.schedule(request.latestStartAtUs + 1, this::dispatchQueued);
+        request.latestStartTimer = context.schedule(request.latestStartAtUs + 1, this::dispatchQueued);
         dispatchQueued();
     }
 
@@ -116,6 +116,7 @@
     private void forward(TrackedRequest request, Tier tier, Backend backend) {
         long nowUs = context.nowUs();
         Attempt attempt = new Attempt(backend, nowUs, request.attempts.size());
+        request.cancelLatestStartTimer();
         if (request.attempts.isEmpty()) {
             retryBudget.recordRequest();
             request.customer.requestOpened();
@@ -127,14 +128,14 @@
         // The attempt times out when this gateway gives up: a backend need not begin work whose answer is no longer
         // awaited.
         long timeOutUs = Math.max(1, request.giveUpAtUs - nowUs);
+        long suspicionTimeoutUs = request.methodStats().suspicionTimeoutUs();
+        attempt.overdueTimer = context.schedule(
+                nowUs + suspicionTimeoutUs + backend.extraRoundTripUs(), () -> attemptOverdue(request, attempt));
         host.startAttempt(
                 request.id,
                 backend.endpoint().backendId(),
                 timeOutUs,
                 Math.min(timeOutUs, request.retryDeadlineAtUs() - nowUs));
-        long suspicionTimeoutUs = request.methodStats().suspicionTimeoutUs();
-        context.schedule(
-                nowUs + suspicionTimeoutUs + backend.extraRoundTripUs(), () -> attemptOverdue(request, attempt));
     }
 
     // ---- Retries ----
@@ -221,6 +222,7 @@
         }
         request.customer.requestClosed(request, !request.attempts.isEmpty());
         request.stage = Stage.DONE;
+        request.cancelTimers();
         for (Attempt attempt : request.attempts) {
             if (attempt.inFlight && settings.cancellationAllowed()) {
                 host.cancelAttempt(request.id, attempt.number);
--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -72,7 +72,7 @@
         CustomerQuota quota = quotas.quotaOf(customer, plan, firstGateway, gateways);
         TrackedRequest request =
                 new TrackedRequest(context, requestEvents, id, requestsReceived++, stats, quota, units, remainingUs);
-        context.schedule(request.giveUpAtUs, () -> dispatcher.requestTimedOut(request));
+        request.giveUpTimer = context.schedule(request.giveUpAtUs, () -> dispatcher.requestTimedOut(request));
         advance(request);
         context.armTimers();
         return request;
--- a/src/main/java/hopdrum/policy/TrackedRequest.java
+++ b/src/main/java/hopdrum/policy/TrackedRequest.java
@@ -8,6 +8,7 @@
 import hopdrum.policy.backends.MethodStats;
 import hopdrum.policy.backends.RoutableRequest;
 import hopdrum.policy.context.PolicyContext;
+import hopdrum.policy.context.Timer;
 import hopdrum.policy.quota.CustomerQuota;
 import hopdrum.policy.quota.QuotaRequest;
 import java.util.ArrayList;
@@ -69,6 +70,10 @@
     int tier = -1;
     Stage stage = Stage.NEW;
     boolean streaming;
+    // Cancelled when the request is done.
+    Timer giveUpTimer;
+    // Cancelled when the first attempt starts or the request is done; null before the request is queued.
+    Timer latestStartTimer;
     private final PolicyContext context;
     private final Listener listener;
     private final MethodStats methodStats;
@@ -112,6 +117,7 @@
         }
         Attempt attempt = attempts.get(number);
         attempt.inFlight = false;
+        attempt.overdueTimer.cancel();
         attemptsInFlight--;
         attempt.neverRan = outcome == Outcome.AT_CAPACITY
                 || outcome == Outcome.CONNECT_FAILED
@@ -136,6 +142,18 @@
         return isDone() && attemptsInFlight == 0;
     }
 
+    /** Cancels the timers that wait for the request's times, which may be far off. */
+    void cancelTimers() {
+        giveUpTimer.cancel();
+        cancelLatestStartTimer();
+    }
+
+    void cancelLatestStartTimer() {
+        if (latestStartTimer != null) {
+            latestStartTimer.cancel();
+        }
+    }
+
     /** Returns true once the request has its final answer or its client has left. */
     boolean isDone() {
         return stage == Stage.DONE;
--- a/src/main/java/hopdrum/policy/context/PolicyContext.java
+++ b/src/main/java/hopdrum/policy/context/PolicyContext.java
@@ -48,9 +48,11 @@
     /**
      * Schedules an action for a time in microseconds of the host's clock; the action runs in the first wake-up at or
      * after that time.
+     *
+     * @return the timer, by which the action can be cancelled
      */
-    public void schedule(long atUs, Runnable action) {
-        timers.schedule(atUs, action);
+    public Timer schedule(long atUs, Runnable action) {
+        return timers.schedule(atUs, action);
     }
 
     /** Runs the actions that are due; returns false if an earlier wake-up has already run them. */
--- a/src/main/java/hopdrum/policy/context/Timers.java
+++ b/src/main/java/hopdrum/policy/context/Timers.java
@@ -1,17 +1,13 @@
 package hopdrum.policy.context;
 
 import hopdrum.host.Host;
-import java.util.Comparator;
-import java.util.PriorityQueue;
+import java.util.TreeSet;
 
 /** Schedules actions for later times, using a single wake-up of the host at the time of the earliest action. */
 final class Timers {
-    private record Timer(long atUs, long sequenceNumber, Runnable action) {}
-
     private final Host host;
-    // Each timer is removed when it is due.
-    private final PriorityQueue<Timer> timers =
-            new PriorityQueue<>(Comparator.comparingLong(Timer::atUs).thenComparingLong(Timer::sequenceNumber));
+    // Each timer is removed when it is due or cancelled.
+    private final TreeSet<Timer> timers = new TreeSet<>(Timer.EARLIEST_FIRST);
     private long timersScheduled;
     private long wakeUpAtUs = Long.MAX_VALUE;
 
@@ -20,8 +16,10 @@
     }
 
     /** Schedules an action; actions due at the same time run in the order in which they were scheduled. */
-    void schedule(long atUs, Runnable action) {
-        timers.add(new Timer(atUs, timersScheduled++, action));
+    Timer schedule(long atUs, Runnable action) {
+        Timer timer = new Timer(atUs, timersScheduled++, timers, action);
+        timers.add(timer);
+        return timer;
     }
 
     /** Runs the actions that are due; returns false if an earlier wake-up has already run them. */
@@ -30,16 +28,16 @@
             return false;
         }
         wakeUpAtUs = Long.MAX_VALUE;
-        while (!timers.isEmpty() && timers.peek().atUs <= host.nowUs()) {
-            timers.poll().action.run();
+        while (!timers.isEmpty() && timers.first().atUs() <= host.nowUs()) {
+            timers.first().run();
         }
         return true;
     }
 
     /** Schedules a wake-up for the earliest action, unless an earlier or equal one is already scheduled. */
     void arm() {
-        if (!timers.isEmpty() && timers.peek().atUs < wakeUpAtUs) {
-            wakeUpAtUs = timers.peek().atUs;
+        if (!timers.isEmpty() && timers.first().atUs() < wakeUpAtUs) {
+            wakeUpAtUs = timers.first().atUs();
             host.scheduleWakeUp(Math.max(1, wakeUpAtUs - host.nowUs()));
         }
     }
