--- a/src/main/java/hopdrum/frontdoor/AttemptDispatcher.java
+++ b/src/main/java/hopdrum/frontdoor/AttemptDispatcher.java
@@ -144,7 +144,7 @@
                         outcome == Outcome.OK || attempt.isResponseForwarded(),
                         0,
                         loadReport);
-        requests.removeIfDone(request);
+        requests.removeIfDone(request, loop.nowUs());
     }
 
     @Override
--- a/src/main/java/hopdrum/frontdoor/PolicyHost.java
+++ b/src/main/java/hopdrum/frontdoor/PolicyHost.java
@@ -106,7 +106,7 @@
             client.respond(status, retryAfterUs, false);
         }
         if (request.handle() != null) { // else RequestHandler does this once it has the handle
-            requests.removeIfDone(request);
+            requests.removeIfDone(request, loop.nowUs());
         }
     }
 
--- a/src/main/java/hopdrum/frontdoor/RequestHandler.java
+++ b/src/main/java/hopdrum/frontdoor/RequestHandler.java
@@ -76,12 +76,16 @@
         long statedUs = head.timeLeftMs * 1000 - client.messageAgeUs();
         long remainingUs = Math.max(1, Math.min(statedUs, latestAnswerAtUs - loop.nowUs()));
         boolean hasPartners = fleet.hasPartners();
-        rejectRepeatOfAbandonedRequest();
+        boolean repeatable = isRepeatable(methods.get(head.method));
+        if (!repeatable && requests.mustNotRunAgain(head.traceId, loop.nowUs())) {
+            throw new MalformedMessageException(409, "a request with the same X-Trace-Id may have been executed");
+        }
         InFlightRequest request = requests.add(
                 client,
                 head.traceId,
                 loop.nowUs(),
                 loop.nowUs() + remainingUs,
+                repeatable,
                 hasPartners && RequestForwarder.isForwarded(client.messageBuffer(), client.message()));
         if (request == null) {
             throw new MalformedMessageException(409, "another request in flight has the same X-Trace-Id");
@@ -98,18 +102,14 @@
                 hasPartners ? 0 : head.firstGateway,
                 hasPartners ? gateways : head.gatewayCount,
                 remainingUs));
-        requests.removeIfDone(request);
+        requests.removeIfDone(request, loop.nowUs());
     }
 
-    /** Protects a request from running twice if its id comes again after its client has left. */
-    private void rejectRepeatOfAbandonedRequest() throws MalformedMessageException {
-        Method method = methods.get(head.method);
-        boolean mayRunTwice = method.retrySafety() == Method.RetrySafety.IDEMPOTENT
+    /** Whether a request may run again wherever it has run before. */
+    private static boolean isRepeatable(Method method) {
+        return method.retrySafety() == Method.RetrySafety.IDEMPOTENT
                 || (method.retrySafety() == Method.RetrySafety.DEDUPLICATED
                         && method.deduplicationScope() == Method.DeduplicationScope.ALL);
-        if (!mayRunTwice && requests.mayHaveRunBefore(head.traceId, loop.nowUs())) {
-            throw new MalformedMessageException(409, "a request with the same X-Trace-Id may have been executed");
-        }
     }
 
     @Override
@@ -130,12 +130,11 @@
         LOG.info("a client left before its response", request.describe(loop.nowUs()));
         request.detachClient();
         tally.clientDisconnected();
-        requests.abandoned(request, loop.nowUs());
         if (request.handle() == null) {
-            requests.remove(request); // Policy failed to return a handle
+            requests.remove(request, loop.nowUs()); // Policy failed to return a handle
             return;
         }
         request.handle().clientLeft();
-        requests.removeIfDone(request);
+        requests.removeIfDone(request, loop.nowUs());
     }
 }
--- a/src/main/java/hopdrum/frontdoor/connection/AbandonedIds.java
+++ b/src/main/java/hopdrum/frontdoor/connection/ExecutedIds.java
@@ -5,10 +5,10 @@
 import java.util.Map;
 
 /**
- * The trace ids of requests whose clients left before the response while a backend may have executed them. Such an id is
- * not accepted again for a while, since the request would run twice.
+ * The trace ids of requests that a backend may have executed and must not execute again. Such an id is not accepted again
+ * for a while, whether its client has the response or has left.
  */
-final class AbandonedIds {
+final class ExecutedIds {
     private static final long RETENTION_US = 30_000_000;
     private static final int MAX_IDS = 8192;
 
--- a/src/main/java/hopdrum/frontdoor/connection/InFlightRequest.java
+++ b/src/main/java/hopdrum/frontdoor/connection/InFlightRequest.java
@@ -12,6 +12,7 @@
     private final String traceId;
     private final long receivedAtUs;
     private final long expiresAtUs;
+    private final boolean repeatable;
     private final boolean forwardedByPartner;
     private final List<Attempt> attempts = new ArrayList<>(1);
     private ClientConnection client; // null once the client has a response or has disconnected
@@ -23,12 +24,14 @@
             ClientConnection client,
             long receivedAtUs,
             long expiresAtUs,
+            boolean repeatable,
             boolean forwardedByPartner) {
         this.id = id;
         this.traceId = traceId;
         this.client = client;
         this.receivedAtUs = receivedAtUs;
         this.expiresAtUs = expiresAtUs;
+        this.repeatable = repeatable;
         this.forwardedByPartner = forwardedByPartner;
     }
 
@@ -97,9 +100,9 @@
         return attempt;
     }
 
-    /** Whether a backend may have executed the request in an attempt so far. */
-    boolean mayHaveRun() {
-        return attempts.stream().anyMatch(Attempt::mayHaveRun);
+    /** Whether a backend may have executed the request in an attempt so far, and none may execute it again. */
+    boolean mustNotRunAgain() {
+        return !repeatable && attempts.stream().anyMatch(Attempt::mayHaveRun);
     }
 
     /** The attempt with this index; null if there is none. */
--- a/src/main/java/hopdrum/frontdoor/connection/InFlightRequests.java
+++ b/src/main/java/hopdrum/frontdoor/connection/InFlightRequests.java
@@ -9,7 +9,7 @@
 public final class InFlightRequests {
     private final Map<Long, InFlightRequest> byId = new HashMap<>();
     private final Set<String> traceIds = new HashSet<>(); // of the requests in byId
-    private final AbandonedIds abandonedIds = new AbandonedIds();
+    private final ExecutedIds executedIds = new ExecutedIds();
     private long nextId = 1;
 
     /**
@@ -20,23 +20,29 @@
      * @param traceId the request's trace id
      * @param receivedAtUs when the request was received, in microseconds of the event loop's clock
      * @param expiresAtUs when the client stops waiting, in microseconds of the event loop's clock
+     * @param repeatable whether the request may run again at any time, wherever it has run before
      * @param forwardedByPartner whether a partner's front door has forwarded the request to this one
      * @return the request; null if the trace id is in use
      */
     public InFlightRequest add(
-            ClientConnection client, String traceId, long receivedAtUs, long expiresAtUs, boolean forwardedByPartner) {
+            ClientConnection client,
+            String traceId,
+            long receivedAtUs,
+            long expiresAtUs,
+            boolean repeatable,
+            boolean forwardedByPartner) {
         if (!traceIds.add(traceId)) {
             return null;
         }
-        InFlightRequest request =
-                new InFlightRequest(nextId++, traceId, client, receivedAtUs, expiresAtUs, forwardedByPartner);
+        InFlightRequest request = new InFlightRequest(
+                nextId++, traceId, client, receivedAtUs, expiresAtUs, repeatable, forwardedByPartner);
         byId.put(request.id(), request);
         return request;
     }
 
-    /** Whether a request with this trace id was left by its client and may have been executed. */
-    public boolean mayHaveRunBefore(String traceId, long nowUs) {
-        return abandonedIds.contains(traceId, nowUs);
+    /** Whether a request with this trace id may have been executed a while ago and must not be executed again. */
+    public boolean mustNotRunAgain(String traceId, long nowUs) {
+        return executedIds.contains(traceId, nowUs);
     }
 
     /** The request with this id; null if it is not in flight. */
@@ -44,24 +50,21 @@
         return byId.get(id);
     }
 
-    /** Notes that the client of a request has left, so that its id is not accepted again if it may have run. */
-    public void abandoned(InFlightRequest request, long nowUs) {
-        if (request.mayHaveRun()) {
-            abandonedIds.add(request.traceId(), nowUs);
-        }
-    }
-
     /** Removes the request if Policy has finished it. */
-    public void removeIfDone(InFlightRequest request) {
+    public void removeIfDone(InFlightRequest request, long nowUs) {
         if (request.handle().isFinished()) {
-            remove(request);
+            remove(request, nowUs);
         }
     }
 
-    /** Removes the request, whether or not Policy has received it. */
-    public void remove(InFlightRequest request) {
-        if (byId.remove(request.id()) != null) {
-            traceIds.remove(request.traceId());
+    /** Removes the request, whether or not Policy has received it. Its id is remembered if it must not run again. */
+    public void remove(InFlightRequest request, long nowUs) {
+        if (byId.remove(request.id()) == null) {
+            return;
+        }
+        traceIds.remove(request.traceId());
+        if (request.mustNotRunAgain()) {
+            executedIds.add(request.traceId(), nowUs);
         }
     }
 
--- a/src/test/java/hopdrum/frontdoor/ClientDisconnectTest.java
+++ b/src/test/java/hopdrum/frontdoor/ClientDisconnectTest.java
@@ -151,6 +151,27 @@
         assertThat(exchange(request("t1", "order", ""))).endsWith("for t1");
     }
 
+    /** Guards against an id that runs twice when it comes again after its response, as from a client that had left. */
+    @Test
+    void aRequestThatMustNotRunTwiceIsNotForwardedIfItComesAgainAfterItsResponse() throws Exception {
+        start();
+        assertThat(exchange(request("t1", "order", ""))).endsWith("for t1");
+        assertThat(exchange(request("t1", "order", ""))).startsWith("HTTP/1.1 409 ");
+        assertThat(exchange(request("t2", "order", ""))).endsWith("for t2");
+        assertThat(backend.requests).hasSize(2);
+    }
+
+    @Test
+    void aRequestThatComesAgainIsForwardedIfItHasNotRunOrMayRunTwice() throws Exception {
+        backend.responder = request -> "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
+        start();
+        assertThat(exchange(request("t1", "order", ""))).startsWith("HTTP/1.1 503 ");
+        backend.responder = request -> okResponse("for " + field(request, "X-Trace-Id"));
+        assertThat(exchange(withCustomer(2, request("t1", "order", "")))).endsWith("for t1");
+        assertThat(exchange(withCustomer(3, request("t2", "checkout", "")))).endsWith("for t2");
+        assertThat(exchange(withCustomer(3, request("t2", "checkout", "")))).endsWith("for t2");
+    }
+
     /**
      * The end of the connection comes after bytes that do not fit into the receive buffer. A half-close is left out,
      * because it is detected only once those bytes have been read.
