--- a/src/main/java/hopdrum/frontdoor/lifecycle/StreamConnection.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/StreamConnection.java
@@ -13,10 +13,6 @@
  * the event loop's thread.
  */
 public abstract class StreamConnection implements EventLoop.ChannelHandler {
-    private static final int MAX_READ_BYTES = 16 << 10; // per event, so that one fast sender does not starve the others
-    // A receive buffer of this size grows only once its bytes have been handled, since they may tell how many follow.
-    private static final int HANDLE_BEFORE_GROWTH_BYTES = 4 << 10;
-
     /** The event loop on which the connection is handled. */
     protected final EventLoop loop;
     /** The receive buffer: bytes that were received and are not handled yet. */
@@ -25,13 +21,11 @@
     protected final RingBuffer out;
 
     private final SocketChannel channel;
+    private final SocketInput input;
     private final SelectionKey key;
     private boolean connected;
     private boolean closed;
     private boolean disconnectScheduled; // disconnected() is called after the current event
-    private boolean inputEnded;
-    private boolean drained = true; // whether the last read has found no more bytes than it has taken
-    private boolean memoryDenied; // whether the last read has found the receive buffer full and unable to grow
     private boolean readingSuspended;
     private int missingReceiveBytes; // for which reading waits until there is memory; 0 if it does not wait
     private long lastProgressUs; // when bytes were last received or written
@@ -49,6 +43,7 @@
             throws IOException {
         this.loop = loop;
         this.channel = channel;
+        this.input = new SocketInput(channel);
         try {
             SocketCalls.configure(channel);
             connected = channel.isConnected();
@@ -118,7 +113,7 @@
 
     /** Whether the last read has taken all bytes that had arrived. */
     protected final boolean isDrained() {
-        return drained;
+        return input.isDrained();
     }
 
     /**
@@ -260,10 +255,10 @@
         }
         if (!closed
                 && (receiveBuffer().isFull()
-                        || (memoryDenied && !receiveBuffer().hasSpace()))) {
+                        || (input.isMemoryDenied() && !receiveBuffer().hasSpace()))) {
             receiveBufferExhausted();
         }
-        if (inputEnded && !closed) {
+        if (input.isEnded() && !closed) {
             handleDisconnect(CloseCause.END_OF_STREAM);
         } else if (!closed) {
             updateInterest();
@@ -272,34 +267,10 @@
 
     /** Adds bytes that have arrived to the receive buffer; returns whether there were any. */
     private boolean readAvailable() throws IOException {
-        RingBuffer buffer = receiveBuffer();
-        int sizeBefore = buffer.size();
-        boolean foundEmpty = false;
-        drained = false;
-        memoryDenied = false;
-        while (buffer.size() - sizeBefore < MAX_READ_BYTES) {
-            if (!buffer.hasSpace() && buffer.size() > sizeBefore && buffer.capacity() >= HANDLE_BEFORE_GROWTH_BYTES) {
-                break;
-            }
-            if (!buffer.hasSpace() && !(mayReceiveBufferGrow() && buffer.reserve(1))) {
-                memoryDenied = true;
-                break;
-            }
-            ByteBuffer space = buffer.contiguousSpace();
-            int capacity = space.remaining();
-            int count = SocketCalls.read(channel, space);
-            buffer.advanceEnd(Math.max(0, count));
-            inputEnded = count == SocketCalls.END_OF_STREAM;
-            drained = count != SocketCalls.READ_FAILED && count < capacity;
-            foundEmpty = count == 0;
-            if (count < capacity) {
-                break;
-            }
-        }
-        boolean received = buffer.size() > sizeBefore;
-        readObserved(buffer.size() - sizeBefore, foundEmpty);
-        lastProgressUs = received ? loop.nowUs() : lastProgressUs;
-        return received;
+        int count = input.read(receiveBuffer(), this::mayReceiveBufferGrow);
+        readObserved(count, input.hasFoundEmpty());
+        lastProgressUs = count > 0 ? loop.nowUs() : lastProgressUs;
+        return count > 0;
     }
 
     /**
@@ -317,7 +288,7 @@
         } catch (IOException e) {
             scheduleDisconnect(CloseCause.FAILURE);
         }
-        if (inputEnded) {
+        if (input.isEnded()) {
             scheduleDisconnect(CloseCause.END_OF_STREAM);
         }
         return closed || disconnectScheduled;
@@ -372,7 +343,7 @@
      */
     protected final void updateInterest() {
         if (!closed && connected && key.isValid()) {
-            int ops = (receiveBuffer().isFull() || inputEnded || readingSuspended ? 0 : SelectionKey.OP_READ)
+            int ops = (receiveBuffer().isFull() || input.isEnded() || readingSuspended ? 0 : SelectionKey.OP_READ)
                     | (out.isEmpty() ? 0 : SelectionKey.OP_WRITE);
             if (ops != key.interestOps()) {
                 key.interestOps(ops);
--- a/src/test/java/hopdrum/frontdoor/ClientLimitsTest.java
+++ b/src/test/java/hopdrum/frontdoor/ClientLimitsTest.java
@@ -24,6 +24,39 @@
  */
 @Timeout(20)
 class ClientLimitsTest extends FrontDoorFixture {
+    /** Expects clients that never complete a request and leave by themselves. */
+    private static final class NoRequests implements ClientListener.RequestListener {
+        @Override
+        public void requestReceived(ClientConnection client) {
+            throw new AssertionError("no complete request was sent");
+        }
+
+        @Override
+        public long maxDeferralUs(ClientConnection client) {
+            throw new AssertionError("no complete request was sent");
+        }
+
+        @Override
+        public void clientDisconnected(ClientConnection client) {
+            throw new AssertionError("no request was accepted");
+        }
+
+        @Override
+        public void excessRequestRejected() {
+            throw new AssertionError("no request was pipelined");
+        }
+
+        @Override
+        public void connectionClosed(ClientCloseReason reason) {
+            assertThat(reason).isEqualTo(ClientCloseReason.CLIENT_CLOSED);
+        }
+
+        @Override
+        public boolean isReady() {
+            return true;
+        }
+    }
+
     @Test
     void aSlowSenderIsDisconnected() throws Exception {
         loop = new EventLoop();
@@ -31,37 +64,7 @@
                 loop,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
                 new ResourceBudget(1024, 1 << 20, 50_000),
-                new ClientListener.RequestListener() {
-                    @Override
-                    public void requestReceived(ClientConnection client) {
-                        throw new AssertionError("no complete request was sent");
-                    }
-
-                    @Override
-                    public long maxDeferralUs(ClientConnection client) {
-                        throw new AssertionError("no complete request was sent");
-                    }
-
-                    @Override
-                    public void clientDisconnected(ClientConnection client) {
-                        throw new AssertionError("no request was accepted");
-                    }
-
-                    @Override
-                    public void excessRequestRejected() {
-                        throw new AssertionError("no request was pipelined");
-                    }
-
-                    @Override
-                    public void connectionClosed(ClientCloseReason reason) {
-                        assertThat(reason).isEqualTo(ClientCloseReason.CLIENT_CLOSED);
-                    }
-
-                    @Override
-                    public boolean isReady() {
-                        return true;
-                    }
-                });
+                new NoRequests());
         clients.startAccepting();
         runInBackground(loop::run);
         try (Socket slowSender = new Socket()) {
