Times stated to backends are taken when they are written; a failed read is tried again at once

Now the time left is taken when it is written (EventLoop.currentTimeUs), and a read that fails for the moment is tried again at once, four times in all.

--- a/src/main/java/hopdrum/frontdoor/connection/BackendConnection.java
+++ b/src/main/java/hopdrum/frontdoor/connection/BackendConnection.java
@@ -121,7 +121,7 @@
         ClientConnection client = attempt.request().client();
         // A partner's front door derives its soft deadline from the client's deadline, not from the attempt's.
         long deadlineUs = pool.isPartner() ? attempt.request().expiresAtUs() : attempt.deadlineUs();
-        long remainingMs = Math.max(1, (deadlineUs - loop.nowUs()) / 1000);
+        long remainingMs = Math.max(1, (deadlineUs - loop.currentTimeUs()) / 1000);
         if (!RequestForwarder.forward(client.messageBuffer(), client.message(), remainingMs, pool.isPartner(), out)) {
             return false;
         }
--- a/src/main/java/hopdrum/frontdoor/lifecycle/EventLoop.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/EventLoop.java
@@ -200,7 +200,11 @@
         nowUs = currentTimeUs();
     }
 
-    private long currentTimeUs() {
+    /**
+     * The present time, in microseconds since the Unix epoch: later than {@link #nowUs} while an event takes long. For
+     * times that others are told.
+     */
+    public long currentTimeUs() {
         return wallClockAtStartUs + (System.nanoTime() - nanosAtStart) / 1000;
     }
 
--- a/src/main/java/hopdrum/frontdoor/lifecycle/SocketCalls.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/SocketCalls.java
@@ -21,6 +21,8 @@
     /** Returned by {@link #read} if the call failed for the moment, so that bytes or the end may be waiting. */
     static final int READ_FAILED = -2;
 
+    private static final int MAX_READ_TRIES = 4; // so that a failed call hides neither bytes nor the end
+
     // As the C library words ENOMEM, ENOBUFS and EINTR; the exceptions carry no number.
     private static final List<String> TRANSIENT_ERRORS =
             List.of("Cannot allocate memory", "No buffer space available", "Interrupted system call");
@@ -51,10 +53,20 @@
     }
 
     /**
-     * Returns the number of bytes read, 0 if there are none for the moment, {@link #END_OF_STREAM} or {@link
-     * #READ_FAILED}.
+     * Reads, again at once if the call fails for the moment.
+     *
+     * @return the number of bytes read, 0 if there are none for the moment, {@link #END_OF_STREAM} or {@link
+     *     #READ_FAILED}
      */
     static int read(SocketChannel channel, ByteBuffer into) throws IOException {
+        int count = READ_FAILED;
+        for (int tries = 0; count == READ_FAILED && tries < MAX_READ_TRIES; tries++) {
+            count = tryToRead(channel, into);
+        }
+        return count;
+    }
+
+    private static int tryToRead(SocketChannel channel, ByteBuffer into) throws IOException {
         try {
             int count = channel.read(into);
             return count < END_OF_STREAM ? READ_FAILED : count;
--- a/src/test/java/hopdrum/frontdoor/lifecycle/EventLoopTimerTest.java
+++ b/src/test/java/hopdrum/frontdoor/lifecycle/EventLoopTimerTest.java
@@ -13,6 +13,7 @@
 class EventLoopTimerTest {
     private static final int MAX_COLLECTIONS = 50;
     private static final long FAR_OFF_US = 60_000_000;
+    private static final long LONG_EVENT_NANOS = 20_000_000;
 
     private EventLoop loop;
 
@@ -43,6 +44,25 @@
         assertThat(timer.get()).isNull();
     }
 
+    /** Guards against times that are stated too long since the event in which they are stated takes long. */
+    @Test
+    void thePresentTimeGoesOnWithinAnEvent() throws Exception {
+        List<Long> differencesUs = new ArrayList<>();
+        loop.scheduleAfter(1, () -> {
+            long startUs = loop.nowUs();
+            long untilNanos = System.nanoTime() + LONG_EVENT_NANOS;
+            while (System.nanoTime() < untilNanos) {
+                Thread.onSpinWait();
+            }
+            differencesUs.add(loop.nowUs() - startUs);
+            differencesUs.add(loop.currentTimeUs() - startUs);
+            loop.stop();
+        });
+        loop.run();
+        assertThat(differencesUs.get(0)).isZero();
+        assertThat(differencesUs.get(1)).isGreaterThanOrEqualTo(LONG_EVENT_NANOS / 1000);
+    }
+
     @Test
     void tasksRunInTheOrderOfTheirTimesAndCancelledOnesDoNotRun() throws Exception {
         List<String> ran = new ArrayList<>();
