An empty read counts only if it is confirmed, where it decides whether a client is still there

Now a backlog has ended only after three empty reads in a row, and few bytes that may be older than 50 ms need three as well; these reads follow each other at once. The wait of a complete message is a class of its own (Deferral).

No test shows the break itself.

--- a/src/main/java/hopdrum/frontdoor/connection/PeerPresence.java
+++ b/src/main/java/hopdrum/frontdoor/connection/PeerPresence.java
@@ -12,6 +12,9 @@
     /** Less than the kernels buffer for a receiver that does not read, so that the end cannot be hidden behind it. */
     static final int MIN_BACKLOG_BYTES = 16 << 10;
 
+    /** So many empty reads in a row show that a stream is empty, also where single calls miss what has arrived. */
+    static final int CONFIRMING_READS = 3;
+
     private static final long PAUSE_US = 2_000; // longer than the kernel takes to pass on the next part of a backlog
     private static final int MIN_PART_BYTES = 1_024; // less than the kernel passes on at once if more is waiting
     private static final long NONE = -1;
@@ -20,8 +23,8 @@
     private long bytesSinceCertain;
     private long pauseSinceUs; // less than MIN_PART_BYTES have arrived since then
     private int bytesInPause;
-    private boolean lastReadEmpty;
-    private boolean quiet; // whether the last read was empty at the end of a long enough pause
+    private int emptyReads; // in a row
+    private boolean quiet; // whether the last reads were empty at the end of a long enough pause
 
     /** Starts with a stream whose other side was certainly present at a time. */
     PeerPresence(long presentAtUs) {
@@ -41,7 +44,7 @@
             uncertainSinceUs = earliestArrivalUs;
             bytesSinceCertain = 0;
         }
-        lastReadEmpty = false;
+        emptyReads = 0;
         quiet = false;
         bytesSinceCertain += count;
         bytesInPause += count;
@@ -53,9 +56,10 @@
 
     /** Notes that a read has found neither bytes nor the end of the stream. */
     void foundEmpty(long nowUs) {
-        lastReadEmpty = true;
-        quiet = nowUs - pauseSinceUs >= PAUSE_US;
-        if (quiet || !hasBacklog()) {
+        emptyReads++;
+        boolean isConfirmed = emptyReads >= CONFIRMING_READS;
+        quiet = isConfirmed && nowUs - pauseSinceUs >= PAUSE_US;
+        if (quiet || (!hasBacklog() && (isConfirmed || !mayHaveLeft(nowUs)))) {
             uncertainSinceUs = NONE;
         }
     }
@@ -67,7 +71,7 @@
         }
         bytesSinceCertain = Math.max(bytesSinceCertain, MIN_BACKLOG_BYTES);
         bytesInPause = MIN_PART_BYTES; // the next bytes end the pause, however few they are
-        lastReadEmpty = false;
+        emptyReads = 0;
         quiet = false;
     }
 
@@ -82,10 +86,10 @@
 
     /** Whether the last read has found the stream empty. */
     boolean isEmpty() {
-        return lastReadEmpty;
+        return emptyReads > 0;
     }
 
-    /** Whether the last read has found the stream empty after a pause, so that nothing was waiting to be passed on. */
+    /** Whether the last reads have found the stream empty after a pause, so that nothing was waiting to be passed on. */
     boolean isQuiet() {
         return quiet;
     }
--- a/src/main/java/hopdrum/frontdoor/connection/PipelinedRequestReader.java
+++ b/src/main/java/hopdrum/frontdoor/connection/PipelinedRequestReader.java
@@ -22,7 +22,6 @@
     private static final int MAX_PIPELINE_BYTES = 256 << 10;
     private static final int MAX_BACKLOG_READS_PER_EVENT = 4;
     private static final int MAX_MESSAGES_PER_EVENT = 64; // so that one fast sender does not starve the others
-    private static final long DEFERRAL_CHECK_INTERVAL_US = 1_000;
     private static final long MIN_DEFERRAL_US = 2_000; // for a client that sends without a pause
 
     /** Reads the message at the front of the receive buffer. */
@@ -30,12 +29,11 @@
 
     private final ResourceBudget budget;
     private final PeerPresence presence;
+    private final Deferral deferral;
     private ExcessRequests excess; // null while all received bytes are kept
     private long firstMessageArrivalUs; // earliest arrival of the first message; MAX_VALUE once it has arrived
     private long messageArrivalUs; // earliest arrival of the front message's first byte; 0 without a message
     private long nextMessageArrivalUs; // the same for the bytes that arrived behind the front message
-    private long deferredUntilUs; // until when a complete message may wait for unread bytes; 0 if none does
-    private boolean deferralCheckScheduled;
     private int backlogReads; // that have followed another in the current event
     private boolean handlingMessages;
     private boolean continuationScheduled;
@@ -51,6 +49,7 @@
         this.budget = budget;
         this.firstMessageArrivalUs = arrivedAtUs;
         this.presence = new PeerPresence(arrivedAtUs);
+        this.deferral = new Deferral(loop, this::checkDeferral);
     }
 
     /** Whether a request is in flight, so that further messages wait for its response. */
@@ -124,7 +123,20 @@
      * it may begin. May be called while Policy is calling a method of its Host.
      */
     public final boolean mayHaveLeft() {
-        return hasPeerLeft() || presence.mayHaveLeft(loop.nowUs());
+        return hasLeftForCertain() || presence.mayHaveLeft(loop.nowUs());
+    }
+
+    /** Reads again while the stream is found empty and that does not yet show that the client is there. */
+    private boolean hasLeftForCertain() {
+        boolean hasLeft = hasPeerLeft();
+        for (int reads = 1; reads < PeerPresence.CONFIRMING_READS && !hasLeft && isEmptyAndUncertain(); reads++) {
+            hasLeft = hasPeerLeft();
+        }
+        return hasLeft;
+    }
+
+    private boolean isEmptyAndUncertain() {
+        return presence.isEmpty() && !presence.isCertain();
     }
 
     @Override
@@ -248,13 +260,13 @@
      * that it has left.
      */
     private boolean isDeferred() {
-        if (deferredUntilUs == 0) {
-            return mayHaveMoreToRead() && (hasPeerLeft() || startDeferral());
+        if (!deferral.isActive()) {
+            return mayHaveMoreToRead() && (hasLeftForCertain() || startDeferral());
         }
-        if (isKnownPresent() || loop.nowUs() >= deferredUntilUs) {
-            deferredUntilUs = 0;
+        if (isKnownPresent() || deferral.isOver()) {
+            deferral.end();
         }
-        return deferredUntilUs != 0;
+        return deferral.isActive();
     }
 
     private boolean mayHaveMoreToRead() {
@@ -271,36 +283,24 @@
         if (deferralUs <= 0) {
             return false;
         }
-        deferredUntilUs = loop.nowUs() + deferralUs;
-        scheduleDeferralCheck();
+        deferral.start(deferralUs);
         return true;
     }
 
-    private void scheduleDeferralCheck() {
-        if (!deferralCheckScheduled) {
-            deferralCheckScheduled = true;
-            loop.scheduleAfter(DEFERRAL_CHECK_INTERVAL_US, this::checkDeferral);
-        }
-    }
-
     private void checkDeferral() {
-        deferralCheckScheduled = false;
-        if (isDeferring()) {
+        for (int reads = 0; reads < PeerPresence.CONFIRMING_READS && isDeferring() && !isKnownPresent(); reads++) {
             readNow();
         }
-        if (isDeferring() && !presence.isEmpty()) {
-            readNow(); // a client that sends little by little is found empty in between
-        }
         if (isDeferring()) {
             handleMessages();
         }
-        if (isDeferring()) {
-            scheduleDeferralCheck();
+        if (isClosing() || isClosed()) {
+            deferral.end();
         }
     }
 
     private boolean isDeferring() {
-        return deferredUntilUs != 0 && !isClosing() && !isClosed();
+        return deferral.isActive() && !isClosing() && !isClosed();
     }
 
     @Override
--- a/src/test/java/hopdrum/frontdoor/connection/PeerPresenceTest.java
+++ b/src/test/java/hopdrum/frontdoor/connection/PeerPresenceTest.java
@@ -14,9 +14,15 @@
 
     private final PeerPresence presence = new PeerPresence(CONNECTED_AT_US);
 
+    private void findEmptyRepeatedly(long nowUs) {
+        for (int i = 0; i < PeerPresence.CONFIRMING_READS; i++) {
+            presence.foundEmpty(nowUs);
+        }
+    }
+
     @Test
     void aClientThatHasJustSentIsPresent() {
-        presence.foundEmpty(LONG_AFTER_US);
+        findEmptyRepeatedly(LONG_AFTER_US);
         presence.bytesReceived(READ_BYTES, LONG_AFTER_US, LONG_AFTER_US);
         assertThat(presence.mayHaveLeft(LONG_AFTER_US + PeerPresence.MAX_UNCERTAINTY_US))
                 .isFalse();
@@ -31,18 +37,28 @@
     }
 
     @Test
-    void anEmptyReadBehindFewBytesShowsThatTheClientIsPresent() {
+    void anEmptyReadBehindFewBytesThatHaveJustComeShowsThatTheClientIsPresent() {
+        findEmptyRepeatedly(LONG_AFTER_US);
         presence.bytesReceived(REQUEST_BYTES, LONG_AFTER_US, LONG_AFTER_US);
         presence.foundEmpty(LONG_AFTER_US);
+        assertThat(presence.isCertain()).isTrue();
+    }
+
+    @Test
+    void severalEmptyReadsBehindFewBytesThatMayBeOldShowThatTheClientIsPresent() {
+        presence.bytesReceived(REQUEST_BYTES, CONNECTED_AT_US, LONG_AFTER_US);
+        presence.foundEmpty(LONG_AFTER_US);
+        assertThat(presence.mayHaveLeft(LONG_AFTER_US)).isTrue();
+        findEmptyRepeatedly(LONG_AFTER_US);
         assertThat(presence.mayHaveLeft(LONG_AFTER_US)).isFalse();
     }
 
     @Test
     void anEmptyReadBehindManyBytesShowsNothingBeforeAPause() {
         presence.bytesReceived(READ_BYTES, CONNECTED_AT_US, LONG_AFTER_US);
-        presence.foundEmpty(LONG_AFTER_US + PAUSE_US - 1);
+        findEmptyRepeatedly(LONG_AFTER_US + PAUSE_US - 1);
         assertThat(presence.mayHaveLeft(LONG_AFTER_US + PAUSE_US - 1)).isTrue();
-        presence.foundEmpty(LONG_AFTER_US + PAUSE_US);
+        findEmptyRepeatedly(LONG_AFTER_US + PAUSE_US);
         assertThat(presence.isQuiet()).isTrue();
         assertThat(presence.mayHaveLeft(LONG_AFTER_US + PAUSE_US)).isFalse();
     }
@@ -58,10 +74,10 @@
     void aPartOfABacklogEndsThePauseAndAFewBytesDoNot() {
         presence.bytesReceived(READ_BYTES, CONNECTED_AT_US, LONG_AFTER_US);
         presence.bytesReceived(1, LONG_AFTER_US + 1_000, LONG_AFTER_US + 1_000);
-        presence.foundEmpty(LONG_AFTER_US + PAUSE_US);
+        findEmptyRepeatedly(LONG_AFTER_US + PAUSE_US);
         assertThat(presence.isQuiet()).isTrue();
         presence.bytesReceived(READ_BYTES, LONG_AFTER_US + PAUSE_US, LONG_AFTER_US + PAUSE_US);
-        presence.foundEmpty(LONG_AFTER_US + PAUSE_US + 1_000);
+        findEmptyRepeatedly(LONG_AFTER_US + PAUSE_US + 1_000);
         assertThat(presence.isQuiet()).isFalse();
     }
 
@@ -70,7 +86,7 @@
         presence.foundEmpty(CONNECTED_AT_US);
         presence.readingSuspended(CONNECTED_AT_US);
         presence.bytesReceived(REQUEST_BYTES, LONG_AFTER_US, LONG_AFTER_US);
-        presence.foundEmpty(LONG_AFTER_US);
+        findEmptyRepeatedly(LONG_AFTER_US);
         assertThat(presence.mayHaveLeft(LONG_AFTER_US)).isTrue();
     }
 }
