--- a/src/main/java/hopdrum/policy/Policy.java
+++ b/src/main/java/hopdrum/policy/Policy.java
@@ -70,6 +70,7 @@
             long remainingUs) {
         MethodStats stats = methodStats[method];
         CustomerQuota quota = quotas.quotaOf(customer, plan, firstGateway, gateways);
+        quota.requestReceived();
         TrackedRequest request =
                 new TrackedRequest(context, requestEvents, id, requestsReceived++, stats, quota, units, remainingUs);
         request.giveUpTimer = context.schedule(request.giveUpAtUs, () -> dispatcher.requestTimedOut(request));
--- a/src/main/java/hopdrum/policy/quota/CustomerQuota.java
+++ b/src/main/java/hopdrum/policy/quota/CustomerQuota.java
@@ -42,6 +42,7 @@
     private long nextRetryAtUs = PolicyContext.DISTANT_PAST_US;
     private long lastUsedUs;
     private int openRequests;
+    private int pendingRequests; // received and not closed, whether they are open or not
 
     CustomerQuota(
             PolicyContext context, CounterService counter, long customer, Plan plan, int firstGateway, int gateways) {
@@ -71,6 +72,20 @@
         lastUsedUs = context.nowUs();
     }
 
+    /** Records that a request of the customer has been received; {@link #requestClosed} follows once. */
+    public void requestReceived() {
+        pendingRequests++;
+    }
+
+    /** Whether nothing is lost but readings, which the next call on the counter gives again. */
+    boolean canBeForgotten() {
+        return pendingRequests == 0
+                && calls.isEmpty()
+                && openRequests == 0
+                && Math.abs(owedUnits) < OWN_UNITS_TOLERANCE
+                && (!bucket.exists() || bucket.isFull());
+    }
+
     boolean isIdle() {
         double refillUs = plan.rate() > 0 ? plan.burst() / plan.rate() * 1e6 : 0;
         return calls.isEmpty()
@@ -191,6 +206,7 @@
      */
     public void requestClosed(QuotaRequest request, boolean opened) {
         waitingRequests.remove(request);
+        pendingRequests--;
         if (opened) {
             openRequests--;
         } else if (request.isAdmitted()) {
--- a/src/main/java/hopdrum/policy/quota/QuotaTable.java
+++ b/src/main/java/hopdrum/policy/quota/QuotaTable.java
@@ -9,10 +9,13 @@
 /** The quotas of all customers that this gateway has recently served; routes the counter's answers to them. */
 public final class QuotaTable {
     private static final long PEER_READING_RETENTION_US = 2_000_000;
+    // More than a gateway serves at a time; beyond, those that hold nothing but a reading give way.
+    private static final int MAX_RETAINED_CUSTOMERS = 16_384;
+    private static final int MAX_CUSTOMERS_TRIED = 4;
 
     private final PolicyContext context;
     private final CounterService counter;
-    // An idle customer is removed by sweep().
+    // An idle customer is removed by sweep(), one that can be forgotten by forgetOldestBeyondLimit(). Oldest first.
     private final Map<Long, CustomerQuota> customers = new LinkedHashMap<>();
     // Readings of customers that are not served here yet; an old one is removed by sweep().
     private final Map<Long, PeerReading> peerReadings = new LinkedHashMap<>();
@@ -36,6 +39,7 @@
                 key,
                 k -> new CustomerQuota(
                         context, counter, k, context.settings().plans().get(plan), firstGateway, gateways));
+        forgetOldestBeyondLimit();
         PeerReading reading = peerReadings.remove(key);
         if (reading != null) {
             customer.applyUpperBound(reading);
@@ -43,6 +47,18 @@
         return customer;
     }
 
+    /** Protects the memory against requests of ever new customers. Those that cannot be forgotten yet are kept. */
+    private void forgetOldestBeyondLimit() {
+        for (int i = 0; i < MAX_CUSTOMERS_TRIED && customers.size() > MAX_RETAINED_CUSTOMERS; i++) {
+            Map.Entry<Long, CustomerQuota> oldest =
+                    customers.entrySet().iterator().next();
+            customers.remove(oldest.getKey());
+            if (!oldest.getValue().canBeForgotten()) {
+                customers.put(oldest.getKey(), oldest.getValue());
+            }
+        }
+    }
+
     /** Returns true while calls are limited and none can be spared. */
     public boolean areCallsScarce() {
         return counter.pacer.callsAreScarce();
