Fewer reads while a backlog is read, so that one connection holds up the others less

Each request of a connection with a backlog read up to three times 16 KiB in its event and again before its attempt; the deferral's checks did so each millisecond.

Now further reads follow only where the one before has found the stream drained, and none where one more would not reach the end.

--- a/src/main/java/hopdrum/frontdoor/connection/PeerPresence.java
+++ b/src/main/java/hopdrum/frontdoor/connection/PeerPresence.java
@@ -84,11 +84,6 @@
         return uncertainSinceUs == NONE;
     }
 
-    /** Whether the last read has found the stream empty. */
-    boolean isEmpty() {
-        return emptyReads > 0;
-    }
-
     /** Whether the last reads have found the stream empty after a pause, so that nothing was waiting to be passed on. */
     boolean isQuiet() {
         return quiet;
--- a/src/main/java/hopdrum/frontdoor/connection/PipelinedRequestReader.java
+++ b/src/main/java/hopdrum/frontdoor/connection/PipelinedRequestReader.java
@@ -123,20 +123,22 @@
      * it may begin. May be called while Policy is calling a method of its Host.
      */
     public final boolean mayHaveLeft() {
-        return hasLeftForCertain() || presence.mayHaveLeft(loop.nowUs());
+        // In the middle of a backlog, one more read would not reach its end.
+        boolean isInBacklog = !isDrained() && presence.mayHaveLeft(loop.nowUs());
+        return isInBacklog || hasLeftForCertain() || presence.mayHaveLeft(loop.nowUs());
     }
 
-    /** Reads again while the stream is found empty and that does not yet show that the client is there. */
+    /** Reads again while the stream is found drained and that does not yet show that the client is there. */
     private boolean hasLeftForCertain() {
         boolean hasLeft = hasPeerLeft();
-        for (int reads = 1; reads < PeerPresence.CONFIRMING_READS && !hasLeft && isEmptyAndUncertain(); reads++) {
+        for (int reads = 1; reads < PeerPresence.CONFIRMING_READS && !hasLeft && isDrainedAndUncertain(); reads++) {
             hasLeft = hasPeerLeft();
         }
         return hasLeft;
     }
 
-    private boolean isEmptyAndUncertain() {
-        return presence.isEmpty() && !presence.isCertain();
+    private boolean isDrainedAndUncertain() {
+        return isDrained() && !presence.isCertain();
     }
 
     @Override
@@ -261,7 +263,7 @@
      */
     private boolean isDeferred() {
         if (!deferral.isActive()) {
-            return mayHaveMoreToRead() && (hasLeftForCertain() || startDeferral());
+            return mayHaveMoreToRead() && ((isDrained() && hasLeftForCertain()) || startDeferral());
         }
         if (isKnownPresent() || deferral.isOver()) {
             deferral.end();
@@ -288,7 +290,12 @@
     }
 
     private void checkDeferral() {
-        for (int reads = 0; reads < PeerPresence.CONFIRMING_READS && isDeferring() && !isKnownPresent(); reads++) {
+        if (isDeferring()) {
+            readNow();
+        }
+        for (int reads = 1;
+                reads < PeerPresence.CONFIRMING_READS && isDeferring() && isDrainedAndUncertain();
+                reads++) {
             readNow();
         }
         if (isDeferring()) {
