Clients at full speed wait as long as before; handling messages ends after 5 ms in one event

Handling the messages of one connection ends after 5 ms in one event. The event loop looks for channels that are ready before it waits, so that bytes that have come during a long round are not taken for new ones.

--- a/src/main/java/hopdrum/frontdoor/ClientListener.java
+++ b/src/main/java/hopdrum/frontdoor/ClientListener.java
@@ -237,7 +237,7 @@
 
     @Override
     public long maxDeferralUs(ClientConnection client) {
-        return RequestHead.isReadinessCheck(client.messageBuffer()) ? 0 : requests.maxDeferralUs(client);
+        return requests.maxDeferralUs(client);
     }
 
     @Override
--- a/src/main/java/hopdrum/frontdoor/RequestHandler.java
+++ b/src/main/java/hopdrum/frontdoor/RequestHandler.java
@@ -17,6 +17,7 @@
 /** Passes client requests on to Policy and notifies Policy of clients that disconnect. */
 final class RequestHandler implements ClientListener.RequestListener {
     private static final Log LOG = new Log("clients");
+    private static final long MAX_AGE_WITH_LITTLE_TIME_US = 250_000; // still in time for the response
 
     private final EventLoop loop;
     private final Policy policy;
@@ -58,16 +59,21 @@
         return endpoints.hasEndpoints();
     }
 
-    /** Leaves the request half of the time that its client still allows. */
+    /**
+     * Leaves the request half of the time that its client still allows. One that will be rejected, or has little time, may
+     * wait longer: else a client could send such requests one after another at full speed.
+     */
     @Override
     public long maxDeferralUs(ClientConnection client) {
+        long timeLeftUs = 0;
         try {
             head.read(client.messageBuffer(), client.message());
-            long timeLeftUs = head.timeLeftMs * 1000 - client.messageAgeUs();
-            return Math.min(timeLeftUs / 2, latestAnswerAtUs - loop.nowUs());
+            timeLeftUs = head.timeLeftMs * 1000 - client.messageAgeUs();
         } catch (MalformedMessageException e) {
-            return 0;
+            timeLeftUs = 0; // it is rejected once it is handled
         }
+        long deferralUs = Math.max(timeLeftUs / 2, MAX_AGE_WITH_LITTLE_TIME_US - client.messageAgeUs());
+        return Math.min(deferralUs, latestAnswerAtUs - loop.nowUs());
     }
 
     @Override
--- a/src/main/java/hopdrum/frontdoor/connection/Deferral.java
+++ b/src/main/java/hopdrum/frontdoor/connection/Deferral.java
@@ -8,6 +8,7 @@
 
     private final EventLoop loop;
     private final Runnable check;
+    private long sinceUs;
     private long untilUs; // 0 while no message waits
     private boolean checkScheduled;
 
@@ -24,7 +25,8 @@
 
     /** Lets a message wait for a time in microseconds. */
     void start(long durationUs) {
-        untilUs = loop.nowUs() + durationUs;
+        sinceUs = loop.nowUs();
+        untilUs = sinceUs + durationUs;
         scheduleCheck();
     }
 
@@ -38,6 +40,11 @@
         return untilUs != 0;
     }
 
+    /** How long the message has waited, in microseconds; 0 if none waits. */
+    long waitedUs() {
+        return isActive() ? loop.nowUs() - sinceUs : 0;
+    }
+
     /** Whether the message has waited for its time. */
     boolean isOver() {
         return loop.nowUs() >= untilUs;
--- a/src/main/java/hopdrum/frontdoor/connection/PeerPresence.java
+++ b/src/main/java/hopdrum/frontdoor/connection/PeerPresence.java
@@ -16,6 +16,7 @@
     static final int CONFIRMING_READS = 3;
 
     private static final long PAUSE_US = 2_000; // longer than the kernel takes to pass on the next part of a backlog
+    private static final long MAX_WAIT_WITHOUT_PAUSE_US = 250_000; // of a client that keeps sending
     private static final int MIN_PART_BYTES = 1_024; // less than the kernel passes on at once if more is waiting
     private static final long NONE = -1;
 
@@ -89,6 +90,11 @@
         return quiet;
     }
 
+    /** Whether a message that has waited for a time in microseconds need not wait for bytes behind it any longer. */
+    boolean isSettled(long waitedUs) {
+        return quiet || (isCertain() && waitedUs >= MAX_WAIT_WITHOUT_PAUSE_US);
+    }
+
     /** Whether the other side may have left longer ago than {@link #MAX_UNCERTAINTY_US}. */
     boolean mayHaveLeft(long nowUs) {
         return !isCertain() && nowUs - uncertainSinceUs > MAX_UNCERTAINTY_US;
--- a/src/main/java/hopdrum/frontdoor/connection/PipelinedRequestReader.java
+++ b/src/main/java/hopdrum/frontdoor/connection/PipelinedRequestReader.java
@@ -22,7 +22,7 @@
     private static final int MAX_PIPELINE_BYTES = 256 << 10;
     private static final int MAX_BACKLOG_READS_PER_EVENT = 4;
     private static final int MAX_MESSAGES_PER_EVENT = 64; // so that one fast sender does not starve the others
-    private static final long MIN_DEFERRAL_US = 2_000; // for a client that sends without a pause
+    private static final long MAX_HANDLING_US = 5_000; // for the same reason
 
     /** Reads the message at the front of the receive buffer. */
     final HttpReader reader = new HttpReader(HttpReader.Kind.REQUEST);
@@ -206,6 +206,7 @@
     /** Returns false if a message is incomplete or has to be handled later. */
     private boolean handleNextMessagesOfEvent() {
         int handled = 0;
+        long latestEndUs = loop.currentTimeUs() + MAX_HANDLING_US;
         try {
             while (!isAwaitingResponse() && !isClosing() && !isClosed() && !in.isEmpty()) {
                 boolean isComplete = reader.read(in);
@@ -219,7 +220,7 @@
                 if (isDeferred()) {
                     return false;
                 }
-                if (handled++ == MAX_MESSAGES_PER_EVENT) {
+                if (handled++ == MAX_MESSAGES_PER_EVENT || loop.currentTimeUs() > latestEndUs) {
                     continueInNextRound();
                     return false;
                 }
@@ -265,18 +266,15 @@
         if (!deferral.isActive()) {
             return mayHaveMoreToRead() && ((isDrained() && hasLeftForCertain()) || startDeferral());
         }
-        if (isKnownPresent() || deferral.isOver()) {
+        if (presence.isSettled(deferral.waitedUs()) || deferral.isOver()) {
             deferral.end();
         }
         return deferral.isActive();
     }
 
     private boolean mayHaveMoreToRead() {
-        return !isKnownPresent() && (!isDrained() || hasReceivedMore() || presence.mayHaveLeft(loop.nowUs()));
-    }
-
-    private boolean isKnownPresent() {
-        return presence.isQuiet() || (presence.isCertain() && messageAgeUs() >= MIN_DEFERRAL_US);
+        return !presence.isSettled(deferral.waitedUs())
+                && (!isDrained() || hasReceivedMore() || presence.mayHaveLeft(loop.nowUs()));
     }
 
     /** Returns false if a message need not or must not wait. */
@@ -290,12 +288,7 @@
     }
 
     private void checkDeferral() {
-        if (isDeferring()) {
-            readNow();
-        }
-        for (int reads = 1;
-                reads < PeerPresence.CONFIRMING_READS && isDeferring() && isDrainedAndUncertain();
-                reads++) {
+        for (int reads = 0; reads < PeerPresence.CONFIRMING_READS && isDeferring() && !presence.isQuiet(); reads++) {
             readNow();
         }
         if (isDeferring()) {
--- a/src/main/java/hopdrum/frontdoor/lifecycle/EventLoop.java
+++ b/src/main/java/hopdrum/frontdoor/lifecycle/EventLoop.java
@@ -174,15 +174,31 @@
             updateClock();
             waitUs = timers.first().dueUs - nowUs;
         }
+        boolean foundReady = selectNow();
+        if (!foundReady && waitUs > 0 && afterEventTasks.isEmpty()) {
+            selectWaiting(waitUs);
+        }
+    }
+
+    /** Handles the channels that are ready already; returns whether there were any. */
+    private boolean selectNow() throws IOException {
         earliestArrivalUs = lastSelectUs;
         lastSelectUs = nowUs;
         selectorReturned = false;
-        requestedWaitUs = afterEventTasks.isEmpty() ? Math.max(0, waitUs) : 0;
-        if (requestedWaitUs == 0) {
-            selector.selectNow(this::handleReadyChannel);
-        } else {
-            selector.select(this::handleReadyChannel, (waitUs + 999) / 1000);
-        }
+        requestedWaitUs = 0;
+        int readyChannels = selector.selectNow(this::handleReadyChannel);
+        updateClock();
+        updateEarliestArrival();
+        return readyChannels > 0;
+    }
+
+    /** Waits until a channel is ready; to be called if none was ready a moment before. */
+    private void selectWaiting(long waitUs) throws IOException {
+        earliestArrivalUs = lastSelectUs;
+        lastSelectUs = nowUs;
+        selectorReturned = false;
+        requestedWaitUs = waitUs;
+        selector.select(this::handleReadyChannel, (waitUs + 999) / 1000);
         updateClock();
         updateEarliestArrival();
     }
